Lay out the workspace: layers, interfaces and checks

Cause: an empty repository; the layers need agreed interfaces before they can grow side by side. Ruled out: one library without layers (arrows could not be checked), OpenTelemetry (not packaged; the OpenTracing API is its nearest kin).

--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace ggv {
+
+class StateMachine;
+class Raft;
+struct RaftOptions;
+struct RaftStatus;
+struct RaftOutput;
+struct Completion;
+
+} // namespace ggv
--- /dev/null
+++ b/packages/protocol/ggv/protocol/codec/codec.cpp
@@ -0,0 +1,3 @@
+#include <ggv/protocol/codec/codec.hpp>
+
+namespace ggv { } // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/model/register.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <ggv/state/core/result.hpp>
+#include <ggv/state/model/entities.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ggv {
+
+//! Everything that operators write; lists are sorted by name and free of duplicates once validated.
+struct RegisterContent
+{
+    std::vector<Region> regions;
+    std::vector<FailureDomain> domains;
+    std::vector<EntryHost> hosts;
+    std::vector<HostName> controlVoters; //!< Hosts whose majority accepts configuration.
+    std::vector<ClaimGroup> claimGroups;
+    std::vector<Service> services;
+    std::vector<Target> targets;
+    std::vector<Link> links;
+    std::vector<ClientBlock> clientBlocks;
+    std::vector<ShiftCap> shiftCaps;
+    std::vector<Drain> drains;
+    std::string platformListUrl; //!< Source of the list of live and leaving hosts; may be empty.
+
+    [[nodiscard]] auto operator<=>(const RegisterContent &) const = default;
+};
+
+/**
+ * @brief The validated, immutable register with indices for look-ups by name.
+ *
+ * Every reference between entities resolves; copies share their content.
+ */
+class Register
+{
+public:
+    //! The empty register, version 0.
+    Register();
+
+    /**
+     * @brief Validates content and builds the indices.
+     * @param version Version of this register.
+     * @param content What operators wrote, in any order.
+     * @return The register, or RegisterInvalid with every fault in the message, one a line.
+     */
+    [[nodiscard]] static Result<Register> create(RegisterVersion version, RegisterContent content);
+
+    [[nodiscard]] RegisterVersion version() const noexcept;
+    [[nodiscard]] const RegisterContent &content() const noexcept;
+
+    //! @return The entity of that name, or null.
+    [[nodiscard]] const Region *region(const RegionName &name) const noexcept;
+    //! @copydoc region
+    [[nodiscard]] const FailureDomain *domain(const FailureDomainName &name) const noexcept;
+    //! @copydoc region
+    [[nodiscard]] const EntryHost *host(const HostName &name) const noexcept;
+    //! @copydoc region
+    [[nodiscard]] const Service *service(const ServiceName &name) const noexcept;
+    //! @copydoc region
+    [[nodiscard]] const Target *target(const TargetName &name) const noexcept;
+    //! @copydoc region
+    [[nodiscard]] const ClaimGroup *claimGroup(const ClaimGroupName &name) const noexcept;
+
+    //! @return The link between two regions in either order, or null.
+    [[nodiscard]] const Link *link(const RegionName &one, const RegionName &other) const noexcept;
+    //! @return The cap on that shift, or null if there is none.
+    [[nodiscard]] const ShiftCap *shiftCap(const ServiceName &service, const RegionName &from,
+                                           const RegionName &to) const noexcept;
+    //! @return Region of a failure domain; null if the domain is not in the register.
+    [[nodiscard]] const RegionName *regionOf(const FailureDomainName &domain) const noexcept;
+    //! @return Targets of a service.
+    [[nodiscard]] const std::vector<const Target *> &
+    targetsOf(const ServiceName &service) const noexcept;
+    //! @return Entry hosts of a failure domain.
+    [[nodiscard]] const std::vector<const EntryHost *> &
+    hostsOf(const FailureDomainName &domain) const noexcept;
+
+    //! Equal if version and content are equal.
+    [[nodiscard]] bool operator==(const Register &other) const noexcept;
+
+private:
+    struct Index;
+    explicit Register(std::shared_ptr<const Index> index);
+
+    std::shared_ptr<const Index> m_index;
+};
+
+/**
+ * @brief Checks the rules between two versions, such as that a service keeps its claim group.
+ * @param current The register in force.
+ * @param next The proposed content.
+ * @throws Error RegisterInvalid with the rule that is broken.
+ */
+void checkTransition(const Register &current, const RegisterContent &next);
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/storage/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace ggv {
+
+class Disk;
+class LogStore;
+struct LogEntry;
+struct HardState;
+struct Snapshot;
+struct RecoveredState;
+
+} // namespace ggv
