Add HTTP and framed transport and the messages between hosts

Cause: the request path needs a server with bounded heads, bodies and silence, a client that never reuses a connection with a leftover, and framed connections with keep-alives. Ruled out: Beast's own stream time-out, because it closes the socket and a slow sender would get no answer; intrusive msgpack macros, because they put the codec into public headers.

--- /dev/null
+++ b/packages/protocol/ggv/protocol/codec/peer_codec.cpp
@@ -0,0 +1,131 @@
+#include <ggv/protocol/codec/peer_codec.hpp>
+
+#include <ggv/protocol/codec/detail/pack.hpp>
+#include <ggv/protocol/codec/detail/raft_fields.hpp>
+
+namespace ggv {
+
+namespace detail {
+
+template <>
+struct Fields<Hello>
+{
+    static constexpr auto list
+        = std::tuple(&Hello::wireVersion, &Hello::host, &Hello::process, &Hello::nonce);
+};
+
+template <>
+struct Fields<HelloProof>
+{
+    static constexpr auto list = std::tuple(&HelloProof::proof);
+};
+
+template <>
+struct Fields<GroupMessage>
+{
+    static constexpr auto list = std::tuple(&GroupMessage::group, &GroupMessage::message);
+};
+
+template <>
+struct Fields<ProposeCall>
+{
+    static constexpr auto list
+        = std::tuple(&ProposeCall::group, &ProposeCall::call, &ProposeCall::command);
+};
+
+template <>
+struct Fields<ProposeAnswer>
+{
+    static constexpr auto list = std::tuple(&ProposeAnswer::call, &ProposeAnswer::code,
+                                            &ProposeAnswer::leader, &ProposeAnswer::answer);
+};
+
+template <>
+struct Fields<ConfigurationRequest>
+{
+    static constexpr auto list = std::tuple(&ConfigurationRequest::version);
+};
+
+template <>
+struct Fields<ConfigurationUpdate>
+{
+    static constexpr auto list
+        = std::tuple(&ConfigurationUpdate::from, &ConfigurationUpdate::to,
+                     &ConfigurationUpdate::content, &ConfigurationUpdate::confirmed);
+};
+
+template <>
+struct Fields<HostReport>
+{
+    static constexpr auto list
+        = std::tuple(&HostReport::host, &HostReport::process, &HostReport::sequence,
+                     &HostReport::version, &HostReport::leaving, &HostReport::member);
+};
+
+template <>
+struct Fields<HostReports>
+{
+    static constexpr auto list = std::tuple(&HostReports::reports);
+};
+
+template <>
+struct Fields<HostException>
+{
+    static constexpr auto list
+        = std::tuple(&HostException::host, &HostException::state, &HostException::version);
+};
+
+template <>
+struct Fields<MembershipView>
+{
+    static constexpr auto list
+        = std::tuple(&MembershipView::term, &MembershipView::sequence, &MembershipView::version,
+                     &MembershipView::leader, &MembershipView::exceptions);
+};
+
+template <>
+struct Fields<BudgetKey>
+{
+    static constexpr auto list = std::tuple(&BudgetKey::kind, &BudgetKey::subject);
+};
+
+template <>
+struct Fields<BudgetShare>
+{
+    static constexpr auto list = std::tuple(&BudgetShare::key, &BudgetShare::units);
+};
+
+template <>
+struct Fields<LeaseRequest>
+{
+    static constexpr auto list
+        = std::tuple(&LeaseRequest::holder, &LeaseRequest::sequence, &LeaseRequest::process,
+                     &LeaseRequest::registerVersion, &LeaseRequest::held, &LeaseRequest::wanted);
+};
+
+template <>
+struct Fields<LeaseGrant>
+{
+    static constexpr auto list = std::tuple(&LeaseGrant::sequence, &LeaseGrant::term,
+                                            &LeaseGrant::lifetime, &LeaseGrant::shares);
+};
+
+template <>
+struct Fields<LeaseCall>
+{
+    static constexpr auto list = std::tuple(&LeaseCall::request);
+};
+
+template <>
+struct Fields<LeaseAnswer>
+{
+    static constexpr auto list = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant);
+};
+
+} // namespace detail
+
+Bytes encodePeerMessage(const PeerMessage &message) { return detail::encodeValue(message); }
+
+PeerMessage decodePeerMessage(ByteView bytes) { return detail::decodeValue<PeerMessage>(bytes); }
+
+} // namespace ggv
--- /dev/null
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -0,0 +1,101 @@
+#include <ggv/transport/http/detail/beast_heads.hpp>
+
+#include <ggv/state/core/error.hpp>
+
+#include <charconv>
+
+namespace ggv::detail {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
+
+template <typename Fields>
+HttpHeaders headersOf(const Fields &fields)
+{
+    HttpHeaders headers;
+    for (const auto &field : fields)
+        headers.push_back({ textOf(field.name_string()), textOf(field.value()) });
+    return headers;
+}
+
+template <typename Fields>
+std::optional<std::uint64_t> contentLengthOf(const Fields &fields)
+{
+    const auto it = fields.find(http::field::content_length);
+    if (it == fields.end())
+        return std::nullopt;
+    const auto text = it->value();
+    std::uint64_t length = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), length);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return length;
+}
+
+bool isPlainTarget(beast::string_view target)
+{
+    return !target.empty() && (target.front() == '/' || target == "*");
+}
+
+template <typename Fields>
+bool hasBothLengths(const Fields &fields)
+{
+    return fields.count(http::field::content_length) > 0
+        && fields.count(http::field::transfer_encoding) > 0;
+}
+
+} // namespace
+
+std::string faultOfRequestHead(const BeastRequestHead &message)
+{
+    if (hasBothLengths(message))
+        return "both Content-Length and Transfer-Encoding";
+    if (message.count(http::field::content_length) > 1)
+        return "more than one Content-Length";
+    if (message.count(http::field::transfer_encoding) > 1
+        || (message.count(http::field::transfer_encoding) == 1
+            && !beast::iequals(message[http::field::transfer_encoding], "chunked")))
+        return "Transfer-Encoding other than chunked";
+    if (message.count(http::field::host) > 1)
+        return "more than one Host";
+    if (message.method() == http::verb::connect || !isPlainTarget(message.target()))
+        return "request target is not a path";
+    return {};
+}
+
+HttpRequestHead requestHeadOf(const BeastRequestHead &message)
+{
+    HttpRequestHead head;
+    head.method = textOf(message.method_string());
+    head.target = textOf(message.target());
+    head.headers = headersOf(message);
+    head.contentLength = contentLengthOf(message);
+    head.chunked = message.count(http::field::transfer_encoding) > 0;
+    return head;
+}
+
+HttpAnswerHead answerHeadOf(const BeastAnswerHead &message, bool toHeadRequest)
+{
+    if (hasBothLengths(message) || message.count(http::field::content_length) > 1)
+        throw Error(ResultCode::TargetAnswerTruncated, "answer with conflicting lengths");
+    HttpAnswerHead head;
+    head.status = static_cast<std::uint16_t>(message.result_int());
+    head.headers = headersOf(message);
+    head.contentLength = contentLengthOf(message);
+    head.noBody = toHeadRequest || head.status == 204 || head.status == 304;
+    return head;
+}
+
+void copyHeaders(http::fields &fields, const HttpHeaders &headers)
+{
+    for (const auto &[name, value] : headers) {
+        if (!isHopByHop(headers, name) && !equalsIgnoreCase(name, "Content-Length"))
+            fields.insert(name, value);
+    }
+}
+
+} // namespace ggv::detail
--- /dev/null
+++ b/packages/transport/ggv/transport/http/detail/operation_timer.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <ggv/state/core/time.hpp>
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace ggv::detail {
+
+/**
+ * @brief Cancels the pending operations of a socket at a deadline, without closing it.
+ *
+ * Belongs to the loop of its socket.
+ */
+class OperationTimer
+{
+public:
+    //! @param socket The socket; outlives the timer.
+    explicit OperationTimer(boost::asio::ip::tcp::socket &socket);
+    ~OperationTimer();
+    OperationTimer(const OperationTimer &) = delete;
+    OperationTimer &operator=(const OperationTimer &) = delete;
+
+    //! Sets the deadline of the operations that follow.
+    void arm(Instant deadline);
+    //! Ends the watch. @return True if the deadline had passed and operations were cancelled.
+    bool disarm();
+
+private:
+    struct Shared
+    {
+        boost::asio::ip::tcp::socket *socket = nullptr;
+        std::uint64_t generation = 0;
+        bool expired = false;
+    };
+
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<Shared> m_shared;
+};
+
+} // namespace ggv::detail
--- /dev/null
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -0,0 +1,304 @@
+#include <ggv/transport/http/http_client.hpp>
+
+#include <ggv/transport/http/detail/beast_heads.hpp>
+#include <ggv/transport/http/detail/operation_timer.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace ggv {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
+
+using RequestMessage = http::request<http::buffer_body>;
+using AnswerParser = http::response_parser<http::buffer_body>;
+
+//! Request being sent; the serializer refers to the message.
+struct OutgoingRequest
+{
+    RequestMessage message;
+    http::request_serializer<http::buffer_body> serializer { message };
+};
+
+class ClientConnection : public ClientExchange
+{
+public:
+    ClientConnection(asio::io_context &context, Endpoint peer, std::uint64_t generation)
+        : m_socket(context)
+        , m_timer(m_socket)
+        , m_peer(std::move(peer))
+        , m_generation(generation)
+    { }
+
+    asio::awaitable<void> connect(Instant deadline)
+    {
+        const tcp::endpoint remote(asio::ip::make_address(m_peer.address), m_peer.port);
+        boost::system::error_code ec;
+        m_timer.arm(deadline);
+        co_await m_socket.async_connect(remote, asio::redirect_error(asio::use_awaitable, ec));
+        const bool late = m_timer.disarm();
+        if (ec || late)
+            throw Error(ResultCode::TargetUnreachable,
+                        "cannot connect to " + m_peer.address + ":" + std::to_string(m_peer.port)
+                            + ": " + (late ? "deadline passed" : ec.message()));
+        m_socket.set_option(tcp::no_delay(true), ec);
+    }
+
+    asio::awaitable<void> sendHead(const HttpRequestHead &head, Instant deadline) override
+    {
+        auto &message = m_request.emplace().message;
+        message.version(11);
+        message.method_string(head.method);
+        message.target(head.target);
+        detail::copyHeaders(message, head.headers);
+        if (head.contentLength)
+            message.content_length(*head.contentLength);
+        else if (head.chunked)
+            message.chunked(true);
+        message.body().more = head.hasBody();
+        m_toHead = head.method == "HEAD";
+        m_requestStarted = true;
+        m_request->serializer.split(true);
+        co_await run(deadline, ResultCode::TargetConnectionLost, [this](auto token) {
+            return http::async_write_header(m_socket, m_request->serializer, token);
+        });
+        m_requestFinished = !head.hasBody();
+    }
+
+    asio::awaitable<void> sendBody(std::span<const std::uint8_t> bytes, Instant deadline) override
+    {
+        if (bytes.empty())
+            co_return;
+        auto &body = m_request->message.body();
+        body.data = const_cast<std::uint8_t *>(bytes.data()); // NOLINT: the serializer only reads.
+        body.size = bytes.size();
+        body.more = true;
+        co_await writeBody(deadline);
+    }
+
+    asio::awaitable<void> finishRequest(Instant deadline) override
+    {
+        if (m_requestFinished)
+            co_return;
+        auto &body = m_request->message.body();
+        body.data = nullptr;
+        body.size = 0;
+        body.more = false;
+        co_await writeBody(deadline);
+        m_requestFinished = true;
+    }
+
+    asio::awaitable<HttpAnswerHead> readHead(Instant deadline) override
+    {
+        do {
+            m_parser.emplace();
+            m_parser->header_limit(MaxAnswerHeaderBytes);
+            m_parser->body_limit(boost::none);
+            m_parser->skip(m_toHead);
+            co_await run(deadline, ResultCode::TargetConnectionLost, [this](auto token) {
+                return http::async_read_header(m_socket, m_buffer, *m_parser, token);
+            });
+        } while (m_parser->get().result_int() / 100 == 1);
+        const auto head = detail::answerHeadOf(m_parser->get(), m_toHead);
+        m_untilClose = !m_parser->is_done() && !head.contentLength && !m_parser->chunked();
+        co_return head;
+    }
+
+    asio::awaitable<std::size_t> readBody(std::span<std::uint8_t> buffer, Instant deadline) override
+    {
+        while (!m_parser->is_done()) {
+            auto &body = m_parser->get().body();
+            body.data = buffer.data();
+            body.size = buffer.size();
+            co_await run(deadline, ResultCode::TargetAnswerTruncated, [this](auto token) {
+                return http::async_read_some(m_socket, m_buffer, *m_parser, token);
+            });
+            const std::size_t n = buffer.size() - body.size;
+            if (n > 0)
+                co_return n;
+        }
+        co_return 0;
+    }
+
+    bool requestStarted() const noexcept override { return m_requestStarted; }
+    bool reused() const noexcept override { return m_uses > 1; }
+
+    void cancel() noexcept override
+    {
+        boost::system::error_code ignored;
+        m_cancelled = true;
+        m_socket.close(ignored);
+    }
+
+    // True if the connection is in a state in which nothing of this exchange can be left on it.
+    bool reusable() const
+    {
+        return !m_failed && !m_cancelled && m_socket.is_open() && m_requestFinished && m_parser
+            && m_parser->is_done() && m_parser->keep_alive() && !m_untilClose
+            && m_buffer.size() == 0;
+    }
+
+    // True if the peer neither closed the idle connection nor sent anything unasked.
+    bool stillQuiet()
+    {
+        char byte = 0;
+        boost::system::error_code ec;
+        m_socket.non_blocking(true, ec);
+        m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+        return ec == asio::error::would_block;
+    }
+
+    void begin()
+    {
+        m_request.reset();
+        m_parser.reset();
+        m_requestStarted = false;
+        m_requestFinished = false;
+        m_untilClose = false;
+        ++m_uses;
+    }
+
+    const Endpoint &peer() const noexcept { return m_peer; }
+    std::uint64_t generation() const noexcept { return m_generation; }
+    Instant idleSince() const noexcept { return m_idleSince; }
+    void markIdle(Instant now) noexcept { m_idleSince = now; }
+
+private:
+    template <typename Start>
+    asio::awaitable<void> run(Instant deadline, ResultCode failure, Start start)
+    {
+        boost::system::error_code ec;
+        m_timer.arm(deadline);
+        co_await start(asio::redirect_error(asio::use_awaitable, ec));
+        const bool late = m_timer.disarm();
+        if (ec == http::error::need_buffer)
+            ec = {};
+        if (!ec && !late && !m_cancelled)
+            co_return;
+        m_failed = true;
+        if (m_cancelled)
+            throw Error(ResultCode::CallerCancelled, "exchange was cancelled");
+        if (late)
+            throw Error(ResultCode::PeerSilent, "no answer from " + m_peer.address + " in time");
+        throw Error(failure, "connection to " + m_peer.address + ": " + ec.message());
+    }
+
+    asio::awaitable<void> writeBody(Instant deadline)
+    {
+        co_await run(deadline, ResultCode::TargetConnectionLost, [this](auto token) {
+            return http::async_write(m_socket, m_request->serializer, token);
+        });
+    }
+
+    tcp::socket m_socket;
+    detail::OperationTimer m_timer;
+    Endpoint m_peer;
+    std::uint64_t m_generation;
+    Instant m_idleSince {};
+    beast::flat_buffer m_buffer;
+    std::optional<OutgoingRequest> m_request;
+    std::optional<AnswerParser> m_parser;
+    std::uint32_t m_uses = 0;
+    bool m_toHead = false;
+    bool m_requestStarted = false;
+    bool m_requestFinished = false;
+    bool m_untilClose = false;
+    bool m_cancelled = false;
+    bool m_failed = false;
+};
+
+//! Kept connections to one peer.
+struct PeerConnections
+{
+    std::uint64_t generation = 0;
+    std::vector<std::unique_ptr<ClientConnection>> idle;
+};
+
+} // namespace
+
+class HttpClientPool::Implementation
+{
+public:
+    std::unique_ptr<ClientConnection> takeIdle(PeerConnections &peer)
+    {
+        while (!peer.idle.empty()) {
+            auto connection = std::move(peer.idle.back());
+            peer.idle.pop_back();
+            const bool young = monotonicNow() - connection->idleSince() < m_idleTimeout;
+            if (young && connection->stillQuiet())
+                return connection;
+        }
+        return nullptr;
+    }
+
+    asio::io_context &m_context;
+    std::size_t m_maxIdlePerPeer;
+    Duration m_idleTimeout;
+    std::map<Endpoint, PeerConnections> m_peers;
+};
+
+HttpClientPool::HttpClientPool(asio::io_context &context, std::size_t maxIdlePerPeer,
+                               Duration idleTimeout)
+    : m_implementation(new Implementation { context, maxIdlePerPeer, idleTimeout, {} })
+{ }
+
+HttpClientPool::~HttpClientPool() = default;
+
+asio::awaitable<std::unique_ptr<ClientExchange>> HttpClientPool::open(const Endpoint &peer,
+                                                                      bool fresh, Instant deadline)
+{
+    auto &known = m_implementation->m_peers[peer];
+    std::unique_ptr<ClientConnection> connection;
+    if (!fresh)
+        connection = m_implementation->takeIdle(known);
+    if (!connection) {
+        connection = std::make_unique<ClientConnection>(m_implementation->m_context, peer,
+                                                        known.generation);
+        co_await connection->connect(deadline);
+    }
+    connection->begin();
+    co_return connection;
+}
+
+void HttpClientPool::giveBack(std::unique_ptr<ClientExchange> exchange)
+{
+    auto *connection = static_cast<ClientConnection *>(exchange.get());
+    if (connection == nullptr || !connection->reusable())
+        return;
+    auto &known = m_implementation->m_peers[connection->peer()];
+    if (connection->generation() != known.generation
+        || known.idle.size() >= m_implementation->m_maxIdlePerPeer)
+        return;
+    connection->markIdle(monotonicNow());
+    exchange.release(); // NOLINT(bugprone-unused-return-value): owned by the next line.
+    known.idle.emplace_back(connection);
+}
+
+void HttpClientPool::retire(const Endpoint &peer)
+{
+    auto &known = m_implementation->m_peers[peer];
+    ++known.generation;
+    known.idle.clear();
+}
+
+std::size_t HttpClientPool::idle(const Endpoint &peer) const noexcept
+{
+    const auto it = m_implementation->m_peers.find(peer);
+    return it == m_implementation->m_peers.end() ? 0 : it->second.idle.size();
+}
+
+} // namespace ggv
