--- a/packages/protocol/ggv/protocol/codec/codec.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-#include <ggv/protocol/codec/codec.hpp>
-
-namespace ggv { } // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/storage/log_store.cpp
@@ -0,0 +1,464 @@
+#include <ggv/state/storage/log_store.hpp>
+
+#include <ggv/state/core/error.hpp>
+#include <ggv/state/storage/log_segment.hpp>
+#include <ggv/state/storage/record.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <iomanip>
+#include <iterator>
+#include <limits>
+#include <sstream>
+#include <utility>
+
+namespace ggv {
+
+namespace {
+
+using detail::ByteReader;
+using detail::ByteWriter;
+using detail::getRecord;
+using detail::LogSegment;
+using detail::ParsedSegment;
+using detail::putRecord;
+
+constexpr std::uint32_t FormatVersion = 1;
+constexpr std::uint64_t MaxSegmentBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxBufferedBytes = 1024 * 1024;
+constexpr int IndexDigits = 20;
+
+// Numbers of the files besides the segments, which have the index of their first entry.
+enum class FileNumber : std::uint64_t {
+    Identity = ~0ULL,
+    HardState = ~0ULL - 1,
+    Snapshot = ~0ULL - 2,
+};
+
+[[noreturn]] void throwCorrupt(const std::string &what)
+{
+    throw Error(ResultCode::StorageCorrupt, what);
+}
+
+} // namespace
+
+class LogStore::Implementation
+{
+public:
+    Implementation(Disk &disk, std::string prefix, std::uint64_t memberId)
+        : m_disk(disk)
+        , m_prefix(std::move(prefix))
+        , m_memberId(memberId)
+    { }
+
+    void open()
+    {
+        if (m_disk.read(identityName()))
+            recover();
+        else
+            initialise();
+    }
+
+    RecoveredState takeRecovered() { return std::exchange(m_recovered, {}); }
+
+    // Runs an action that writes; after a failure what the disk holds is not known.
+    template <typename Action>
+    void guarded(Action action)
+    {
+        if (m_failed)
+            throw Error(ResultCode::StorageIo, "store failed earlier: " + m_prefix);
+        m_failed = true;
+        action();
+        m_failed = false;
+    }
+
+    void saveHardState(const HardState &hardState)
+    {
+        Bytes body;
+        ByteWriter writer(body);
+        writer.putU64(hardState.term);
+        writer.putU64(hardState.votedFor);
+        replaceRecord(hardStateName(), FileNumber::HardState, body);
+    }
+
+    void append(const std::vector<LogEntry> &entries)
+    {
+        for (const LogEntry &entry : entries) {
+            if (entry.index <= lastIndex())
+                cutFrom(entry.index);
+            if (entry.index != lastIndex() + 1)
+                throw Error(ResultCode::Internal, "log entry does not follow the last one");
+            appendOne(entry);
+        }
+    }
+
+    void sync()
+    {
+        flush();
+        if (m_synced == lastIndex())
+            return;
+        m_disk.sync(active().name);
+        m_synced = lastIndex();
+        detail::putSyncMark(m_buffer, m_memberId, active(), m_synced);
+        flush();
+    }
+
+    void saveSnapshot(const Snapshot &snapshot)
+    {
+        sync();
+        Bytes body;
+        ByteWriter writer(body);
+        writer.putU64(snapshot.index);
+        writer.putU64(snapshot.term);
+        writer.putSized(snapshot.members);
+        writer.putSized(snapshot.state);
+        replaceRecord(snapshotName(), FileNumber::Snapshot, body);
+        dropCovered(snapshot);
+    }
+
+private:
+    std::string identityName() const { return m_prefix + "identity"; }
+    std::string hardStateName() const { return m_prefix + "hardstate"; }
+    std::string snapshotName() const { return m_prefix + "snapshot"; }
+    std::string segmentPrefix() const { return m_prefix + "log."; }
+
+    std::string segmentName(LogIndex first) const
+    {
+        std::ostringstream name;
+        name << segmentPrefix() << std::setw(IndexDigits) << std::setfill('0') << first;
+        return name.str();
+    }
+
+    LogSegment &active() noexcept { return m_segments.back(); }
+    LogIndex lastIndex() const noexcept { return m_segments.back().last(); }
+
+    // --- Records that are files of their own.
+
+    void replaceRecord(const std::string &name, FileNumber number, ByteView body)
+    {
+        if (body.size() > std::numeric_limits<std::uint32_t>::max())
+            throw Error(ResultCode::StorageIo, "record too large for " + name);
+        Bytes file;
+        putRecord(file, { m_memberId, static_cast<std::uint64_t>(number), 0 }, body);
+        m_disk.replace(name, file);
+    }
+
+    // Without the member id as owner, because it must be readable by another member too.
+    void writeIdentity()
+    {
+        Bytes body;
+        ByteWriter writer(body);
+        writer.putU32(FormatVersion);
+        writer.putU64(m_memberId);
+        Bytes file;
+        putRecord(file, { 0, static_cast<std::uint64_t>(FileNumber::Identity), 0 }, body);
+        m_disk.replace(identityName(), file);
+    }
+
+    Bytes readRecord(const std::string &name, FileNumber number, std::uint64_t owner)
+    {
+        const auto file = m_disk.read(name);
+        if (!file)
+            throwCorrupt("missing file " + name);
+        const auto body = getRecord(*file, { owner, static_cast<std::uint64_t>(number), 0 });
+        if (!body || body->size() + detail::RecordHeaderBytes != file->size())
+            throwCorrupt("damaged file " + name);
+        return Bytes(body->begin(), body->end());
+    }
+
+    // --- Opening.
+
+    // The identity is written last, so a crash in here leaves a store that starts anew.
+    void initialise()
+    {
+        refuseLeftovers();
+        saveHardState({});
+        startSegment(1);
+        writeIdentity();
+    }
+
+    void refuseLeftovers()
+    {
+        const std::vector<LogIndex> segments = storedSegments();
+        const bool unusedLog = segments.empty() || segments == std::vector<LogIndex> { 1 };
+        if (!unusedLog || m_disk.read(snapshotName()))
+            throwCorrupt("missing file " + identityName());
+        if (!m_disk.read(hardStateName()))
+            return;
+        Bytes body = readRecord(hardStateName(), FileNumber::HardState, m_memberId);
+        ByteReader reader(body);
+        if (reader.getU64() != 0)
+            throwCorrupt("missing file " + identityName());
+    }
+
+    std::vector<LogIndex> storedSegments()
+    {
+        std::vector<LogIndex> found;
+        const std::string start = segmentPrefix();
+        for (const std::string &name : m_disk.list()) {
+            if (!name.starts_with(start))
+                continue;
+            LogIndex first = 0;
+            std::from_chars(name.data() + start.size(), name.data() + name.size(), first);
+            if (name == segmentName(first))
+                found.push_back(first);
+        }
+        return found;
+    }
+
+    void recover()
+    {
+        checkIdentity();
+        readHardState();
+        readSnapshot();
+        readSegments();
+    }
+
+    void checkIdentity()
+    {
+        const Bytes body = readRecord(identityName(), FileNumber::Identity, 0);
+        ByteReader reader(body);
+        if (reader.getU32() != FormatVersion)
+            throwCorrupt("unknown format of " + identityName());
+        if (reader.getU64() != m_memberId)
+            throw Error(ResultCode::StorageIdentityMismatch,
+                        "store of another member: " + m_prefix);
+    }
+
+    void readHardState()
+    {
+        const Bytes body = readRecord(hardStateName(), FileNumber::HardState, m_memberId);
+        ByteReader reader(body);
+        m_recovered.hardState.term = reader.getU64();
+        m_recovered.hardState.votedFor = reader.getU64();
+    }
+
+    void readSnapshot()
+    {
+        if (!m_disk.read(snapshotName()))
+            return;
+        const Bytes body = readRecord(snapshotName(), FileNumber::Snapshot, m_memberId);
+        ByteReader reader(body);
+        Snapshot &snapshot = m_recovered.snapshot;
+        snapshot.index = reader.getU64();
+        snapshot.term = reader.getU64();
+        const ByteView members = reader.getSized();
+        snapshot.members.assign(members.begin(), members.end());
+        const ByteView state = reader.getSized();
+        snapshot.state.assign(state.begin(), state.end());
+    }
+
+    void readSegments()
+    {
+        const Snapshot &snapshot = m_recovered.snapshot;
+        const std::vector<LogIndex> stored = storedSegments();
+        if (stored.empty() || stored.front() > snapshot.index + 1)
+            throwCorrupt("missing log file " + segmentPrefix());
+        for (const LogIndex first : stored)
+            readSegment(first, first == stored.back());
+        m_synced = lastIndex();
+        if (m_resetInterrupted)
+            discardLog(snapshot.index + 1);
+        else if (snapshot.index > 0)
+            dropCovered(snapshot);
+        dropEntriesOutside();
+    }
+
+    void readSegment(LogIndex first, bool isLast)
+    {
+        const std::string name = segmentName(first);
+        const Bytes file = m_disk.read(name).value_or(Bytes {});
+        ParsedSegment parsed = detail::parseSegment(file, m_memberId, name, first);
+        if (parsed.torn && !isLast)
+            throwCorrupt("damaged log file " + name);
+        checkFollows(first);
+        if (isLast)
+            settleTail(parsed);
+        m_segments.push_back(std::move(parsed.segment));
+        std::move(parsed.entries.begin(), parsed.entries.end(),
+                  std::back_inserter(m_recovered.entries));
+    }
+
+    // Only a crash while a snapshot replaced the whole log leaves segments that do not join.
+    void checkFollows(LogIndex first)
+    {
+        if (m_segments.empty() || first == lastIndex() + 1)
+            return;
+        if (first != m_recovered.snapshot.index + 1)
+            throwCorrupt("log files do not join at entry " + std::to_string(first));
+        m_resetInterrupted = true;
+    }
+
+    // Entries that survived without a sync may be only in the page cache: sync before use.
+    void settleTail(const ParsedSegment &parsed)
+    {
+        if (parsed.torn)
+            m_disk.truncate(parsed.segment.name, parsed.segment.size);
+        m_disk.sync(parsed.segment.name);
+    }
+
+    void dropEntriesOutside()
+    {
+        const LogIndex covered = m_recovered.snapshot.index;
+        const LogIndex last = lastIndex();
+        std::erase_if(m_recovered.entries, [covered, last](const LogEntry &entry) {
+            return entry.index <= covered || entry.index > last;
+        });
+    }
+
+    // --- Writing.
+
+    void startSegment(LogIndex first)
+    {
+        LogSegment segment { segmentName(first), first, 0, {} };
+        m_disk.replace(segment.name, detail::beginSegment(m_memberId, segment));
+        m_segments.push_back(std::move(segment));
+    }
+
+    void appendOne(const LogEntry &entry)
+    {
+        if (active().size >= MaxSegmentBytes)
+            rollSegment();
+        detail::putEntry(m_buffer, m_memberId, active(), entry, m_synced);
+        if (m_buffer.size() >= MaxBufferedBytes)
+            flush();
+    }
+
+    // Only the last segment may hold entries that are not durable.
+    void rollSegment()
+    {
+        sync();
+        startSegment(lastIndex() + 1);
+    }
+
+    void flush()
+    {
+        if (m_buffer.empty())
+            return;
+        m_disk.append(active().name, m_buffer);
+        m_buffer.clear();
+    }
+
+    // The cut is durable before anything is written in its place.
+    void cutFrom(LogIndex index)
+    {
+        flush();
+        if (index < m_segments.front().first)
+            throw Error(ResultCode::Internal, "log entry is covered by the snapshot");
+        while (m_segments.size() > 1 && active().first >= index)
+            removeSegment(std::prev(m_segments.end()));
+        if (active().contains(index))
+            cutActive(index);
+        m_synced = std::min(m_synced, index - 1);
+    }
+
+    void cutActive(LogIndex index)
+    {
+        LogSegment &segment = active();
+        segment.size = segment.at(index).offset;
+        segment.positions.resize(index - segment.first);
+        m_disk.truncate(segment.name, segment.size);
+        m_disk.sync(segment.name);
+    }
+
+    void removeSegment(std::deque<LogSegment>::iterator it)
+    {
+        m_disk.remove(it->name);
+        m_segments.erase(it);
+    }
+
+    // --- Compaction.
+
+    void dropCovered(const Snapshot &snapshot)
+    {
+        if (!joins(snapshot)) {
+            discardLog(snapshot.index + 1);
+            return;
+        }
+        if (active().first <= snapshot.index && !active().positions.empty())
+            startSegment(lastIndex() + 1);
+        while (m_segments.size() > 1 && m_segments[1].first <= snapshot.index + 1)
+            removeSegment(m_segments.begin());
+    }
+
+    // True if the log holds the snapshot's last entry or starts right after it.
+    bool joins(const Snapshot &snapshot) const
+    {
+        for (const LogSegment &segment : m_segments) {
+            if (segment.contains(snapshot.index))
+                return segment.at(snapshot.index).term == snapshot.term;
+        }
+        return m_segments.front().first == snapshot.index + 1;
+    }
+
+    // In an order that a crash at any point leaves recognisable.
+    void discardLog(LogIndex first)
+    {
+        m_buffer.clear();
+        while (!m_segments.empty() && active().first >= first) {
+            if (active().first == first)
+                m_segments.pop_back();
+            else
+                removeSegment(std::prev(m_segments.end()));
+        }
+        startSegment(first);
+        while (m_segments.size() > 1)
+            removeSegment(m_segments.begin());
+        m_synced = lastIndex();
+    }
+
+    Disk &m_disk;
+    std::string m_prefix;
+    std::uint64_t m_memberId;
+    RecoveredState m_recovered;
+    std::deque<LogSegment> m_segments;
+    Bytes m_buffer; // Records of the active segment that are not yet given to the disk.
+    LogIndex m_synced = 0;
+    bool m_resetInterrupted = false;
+    bool m_failed = false;
+};
+
+Result<std::unique_ptr<LogStore>> LogStore::open(Disk &disk, std::string prefix,
+                                                 std::uint64_t memberId)
+{
+    try {
+        auto implementation = std::make_unique<Implementation>(disk, std::move(prefix), memberId);
+        implementation->open();
+        return std::unique_ptr<LogStore>(new LogStore(std::move(implementation)));
+    } catch (const Error &error) {
+        if (error.code() == ResultCode::StorageIo)
+            throw;
+        return error;
+    }
+}
+
+LogStore::LogStore(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+LogStore::~LogStore() = default;
+
+RecoveredState LogStore::takeRecovered() { return m_implementation->takeRecovered(); }
+
+void LogStore::saveHardState(const HardState &hardState)
+{
+    m_implementation->guarded([&] { m_implementation->saveHardState(hardState); });
+}
+
+void LogStore::append(const std::vector<LogEntry> &entries)
+{
+    m_implementation->guarded([&] { m_implementation->append(entries); });
+}
+
+void LogStore::sync()
+{
+    m_implementation->guarded([&] { m_implementation->sync(); });
+}
+
+void LogStore::saveSnapshot(const Snapshot &snapshot)
+{
+    m_implementation->guarded([&] { m_implementation->saveSnapshot(snapshot); });
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/storage/record.cpp
@@ -0,0 +1,90 @@
+#include <ggv/state/storage/record.hpp>
+
+#include <ggv/state/core/error.hpp>
+
+#include <array>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace ggv::detail {
+
+namespace {
+
+constexpr std::uint32_t RecordMagic = 0x52564747;
+constexpr unsigned BitsPerByte = 8;
+
+std::uint64_t littleEndian(ByteView bytes) noexcept
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = bytes.size(); i > 0; --i)
+        value = (value << BitsPerByte) | bytes[i - 1];
+    return value;
+}
+
+std::uint64_t checksum(const RecordPlace &place, ByteView body) noexcept
+{
+    const std::array<std::uint64_t, 4> seedFields
+        = { place.owner, place.file, place.offset, body.size() };
+    const auto seed = XXH3_64bits(seedFields.data(), sizeof(seedFields));
+    return XXH3_64bits_withSeed(body.data(), body.size(), seed);
+}
+
+} // namespace
+
+void ByteWriter::putSized(ByteView bytes)
+{
+    putU64(bytes.size());
+    putBytes(bytes);
+}
+
+void ByteWriter::putLittleEndian(std::uint64_t value, std::size_t size)
+{
+    for (std::size_t i = 0; i < size; ++i)
+        m_out.push_back(static_cast<std::uint8_t>(value >> (BitsPerByte * i)));
+}
+
+std::uint32_t ByteReader::getU32()
+{
+    return static_cast<std::uint32_t>(littleEndian(take(sizeof(std::uint32_t))));
+}
+
+std::uint64_t ByteReader::getU64() { return littleEndian(take(sizeof(std::uint64_t))); }
+
+ByteView ByteReader::getSized() { return take(getU64()); }
+
+ByteView ByteReader::getRest() noexcept { return std::exchange(m_bytes, {}); }
+
+ByteView ByteReader::take(std::size_t size)
+{
+    if (size > m_bytes.size())
+        throw Error(ResultCode::StorageCorrupt, "record is too short");
+    const ByteView taken = m_bytes.first(size);
+    m_bytes = m_bytes.subspan(size);
+    return taken;
+}
+
+void putRecord(Bytes &out, const RecordPlace &place, ByteView body)
+{
+    ByteWriter writer(out);
+    writer.putU32(RecordMagic);
+    writer.putU32(static_cast<std::uint32_t>(body.size()));
+    writer.putU64(checksum(place, body));
+    writer.putBytes(body);
+}
+
+std::optional<ByteView> getRecord(ByteView file, const RecordPlace &place) noexcept
+{
+    if (place.offset > file.size() || file.size() - place.offset < RecordHeaderBytes)
+        return std::nullopt;
+    const ByteView rest = file.subspan(place.offset);
+    const auto size = littleEndian(rest.subspan(4, 4));
+    if (littleEndian(rest.first(4)) != RecordMagic || size > rest.size() - RecordHeaderBytes)
+        return std::nullopt;
+    const ByteView body = rest.subspan(RecordHeaderBytes, size);
+    if (littleEndian(rest.subspan(8, 8)) != checksum(place, body))
+        return std::nullopt;
+    return body;
+}
+
+} // namespace ggv::detail
