--- /dev/null
+++ b/packages/state/ggv/state/admission/adaptive_limit.cpp
@@ -0,0 +1,104 @@
+#include <ggv/state/admission/adaptive_limit.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace ggv {
+
+namespace {
+
+//! Longest time between two successes that counts as growth.
+constexpr Duration GrowthWindow = std::chrono::milliseconds(500);
+
+} // namespace
+
+AdaptiveLimit AdaptiveLimit::warm(const AdaptiveLimitPolicy &policy) noexcept
+{
+    return { policy, 1.0 };
+}
+
+AdaptiveLimit AdaptiveLimit::cold(const AdaptiveLimitPolicy &policy) noexcept
+{
+    return { policy, policy.coldShare };
+}
+
+AdaptiveLimit::AdaptiveLimit(const AdaptiveLimitPolicy &policy, double share) noexcept
+    : m_policy(policy)
+    , m_share(share)
+{ }
+
+void AdaptiveLimit::onSuccess(Duration latency, Instant now) noexcept
+{
+    observeLatency(static_cast<double>(latency.count()));
+    if (isSlow())
+        drop(m_policy.latencyTolerance * m_usualLatency / m_recentLatency, now);
+    else
+        grow(now);
+}
+
+void AdaptiveLimit::onOverload(Instant now) noexcept { drop(m_policy.dropFactor, now); }
+
+void AdaptiveLimit::onReport(const TargetLoadReport &report, Instant now) noexcept
+{
+    m_reportedSlots = report.slots;
+    if (report.inFlight > report.slots)
+        drop(m_policy.dropFactor, now);
+}
+
+void AdaptiveLimit::reset() noexcept
+{
+    m_share = m_policy.coldShare;
+    m_recentLatency = 0.0;
+    m_usualLatency = 0.0;
+}
+
+std::uint32_t AdaptiveLimit::limit(std::uint32_t leasedSlots) const noexcept
+{
+    const auto bound = std::min(leasedSlots, m_reportedSlots);
+    if (bound == 0)
+        return 0;
+    const auto slots = static_cast<std::uint32_t>(std::lround(bound * m_share));
+    return std::clamp(slots, std::uint32_t { 1 }, bound);
+}
+
+Duration AdaptiveLimit::expectedLatency() const noexcept
+{
+    return Duration(std::llround(m_recentLatency));
+}
+
+void AdaptiveLimit::observeLatency(double latency) noexcept
+{
+    if (m_recentLatency <= 0.0) {
+        m_recentLatency = latency;
+        m_usualLatency = latency;
+        return;
+    }
+    const double step = latency < m_usualLatency ? m_policy.usualFallStep : m_policy.usualRiseStep;
+    m_recentLatency += m_policy.recentStep * (latency - m_recentLatency);
+    m_usualLatency += step * (latency - m_usualLatency);
+}
+
+void AdaptiveLimit::grow(Instant now) noexcept
+{
+    const auto elapsed = std::clamp<Duration>(now - m_grownAt, Duration::zero(), GrowthWindow);
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    m_share = std::min(1.0, m_share + m_policy.growthPerSecond * seconds);
+    m_grownAt = std::max(m_grownAt, now);
+}
+
+void AdaptiveLimit::drop(double factor, Instant now) noexcept
+{
+    if (m_droppedAt != Instant::min() && now - m_droppedAt < m_policy.dropInterval)
+        return;
+    const double bounded = std::clamp(factor, m_policy.dropFactor, 1.0);
+    m_share = std::max(m_policy.minimumShare, m_share * bounded);
+    m_droppedAt = now;
+    m_grownAt = std::max(m_grownAt, now);
+}
+
+bool AdaptiveLimit::isSlow() const noexcept
+{
+    return m_recentLatency > m_policy.latencyTolerance * m_usualLatency;
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/health/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace ggv {
+
+enum class HealthState : std::uint8_t;
+enum class EvidenceSource : std::uint8_t;
+enum class RequestOutcome : std::uint8_t;
+struct HealthPolicy;
+class TargetHealth;
+class ConnectionGeneration;
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/steering/fwd.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace ggv {
+
+enum class Proximity : std::uint8_t;
+struct TargetCandidate;
+struct ChoicePolicy;
+class TargetOrder;
+struct DrainWindow;
+struct ShiftRampPolicy;
+class ShiftRamp;
+
+} // namespace ggv
