--- a/packages/state/ggv/state/claim/claim_table.hpp
+++ b/packages/state/ggv/state/claim/claim_table.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,8 @@
     std::uint64_t fingerprint
         = 0; //!< Of method, path and body; the same key with another one is refused.
     UnixMillis keyTime = 0; //!< When the key was made, if it says so (UUID version 7); else 0.
+    std::uint64_t seenPosition
+        = 0; //!< ClaimTable::position() that the entry host knew when the request arrived.
 
     [[nodiscard]] auto operator<=>(const ClaimRequest &) const noexcept = default;
 };
@@ -86,6 +89,7 @@
     FingerprintMismatch, //!< The key was used for another request.
     Expired, //!< The key is older than the table remembers: unknown.
     Full, //!< The table cannot take a further key: not run.
+    Stale, //!< The request may have arrived before the key was last given back: ask again.
 };
 
 //! Decision and, for Finished, the answer.
@@ -105,6 +109,10 @@
     UnixMillis answerRetention = 24LL * 3600 * 1000; //!< A finished answer is replayed this long.
     UnixMillis keyWindow
         = 48LL * 3600 * 1000; //!< Keys that state their time are refused after this age.
+    UnixMillis attemptWindow
+        = 3600LL * 1000; //!< Requests that arrived longer ago may be refused as stale.
+
+    [[nodiscard]] auto operator<=>(const ClaimTableLimits &) const noexcept = default;
 };
 
 /**
@@ -113,6 +121,12 @@
  * Time is the largest time seen in the log, never the clock of a replica. Keys without a time of
  * their own shrink to a tombstone after the retention and are never forgotten; keys that state
  * their time are forgotten once every resend with them is refused by age.
+ *
+ * The position counts the operations of the table. A caller is told "not run" when its claim is
+ * given back or the table is full, so requests with the same key that arrived at any entry host
+ * before that must not run any more: a claim is granted only if its seenPosition is not before the
+ * key's last release. The records of releases are dropped after the attempt window; from then on
+ * every claim with an older seenPosition is refused.
  */
 class ClaimTable
 {
@@ -133,10 +147,15 @@
     //! Records a result; ignored unless the claim is held by the same ClaimId.
     //! @return True if the result is now the kept one.
     bool complete(const ClaimCompletion &completion, UnixMillis now);
-    //! Gives a claim back; ignored unless the claim is held by the same ClaimId.
-    //! @return True if the key is free again.
+    //! Gives a claim back; a key that another ClaimId holds or finished is left alone. If the claim
+    //! has not arrived yet, it is refused when it does.
+    //! @return True if this claim was held and the key is free again.
     bool release(const ClaimRelease &release, UnixMillis now);
 
+    //! @return Number of operations that the table has seen.
+    [[nodiscard]] std::uint64_t position() const noexcept;
+    //! Counts an operation that changes no key; lets an entry host learn the position.
+    void touch(UnixMillis now);
     //! @return Number of keys held, tombstones included.
     [[nodiscard]] std::uint64_t size() const noexcept;
     //! @return Bytes of kept answers.
