--- a/packages/protocol/ggv/protocol/codec/detail/raft_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/raft_fields.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ggv/protocol/codec/detail/pack.hpp>
+#include <ggv/protocol/message/membership.hpp>
 #include <ggv/protocol/message/raft_message.hpp>
 
 namespace ggv::detail {
@@ -62,4 +63,10 @@
         = std::tuple(&RaftMessage::from, &RaftMessage::to, &RaftMessage::body);
 };
 
+template <>
+struct Fields<Membership>
+{
+    static constexpr auto list = std::tuple(&Membership::voters, &Membership::learners);
+};
+
 } // namespace ggv::detail
--- a/packages/protocol/ggv/protocol/codec/peer_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/peer_codec.cpp
@@ -10,8 +10,8 @@
 template <>
 struct Fields<Hello>
 {
-    static constexpr auto list
-        = std::tuple(&Hello::wireVersion, &Hello::host, &Hello::process, &Hello::nonce);
+    static constexpr auto list = std::tuple(&Hello::wireVersion, &Hello::host, &Hello::process,
+                                            &Hello::member, &Hello::nonce);
 };
 
 template <>
@@ -49,9 +49,8 @@
 template <>
 struct Fields<ConfigurationUpdate>
 {
-    static constexpr auto list
-        = std::tuple(&ConfigurationUpdate::from, &ConfigurationUpdate::to,
-                     &ConfigurationUpdate::content, &ConfigurationUpdate::confirmed);
+    static constexpr auto list = std::tuple(&ConfigurationUpdate::from, &ConfigurationUpdate::to,
+                                            &ConfigurationUpdate::content);
 };
 
 template <>
@@ -59,7 +58,7 @@
 {
     static constexpr auto list
         = std::tuple(&HostReport::host, &HostReport::process, &HostReport::sequence,
-                     &HostReport::version, &HostReport::leaving, &HostReport::member);
+                     &HostReport::version, &HostReport::leaving);
 };
 
 template <>
@@ -113,13 +112,14 @@
 template <>
 struct Fields<LeaseCall>
 {
-    static constexpr auto list = std::tuple(&LeaseCall::request);
+    static constexpr auto list = std::tuple(&LeaseCall::request, &LeaseCall::hops);
 };
 
 template <>
 struct Fields<LeaseAnswer>
 {
-    static constexpr auto list = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant);
+    static constexpr auto list = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant,
+                                            &LeaseAnswer::version, &LeaseAnswer::process);
 };
 
 } // namespace detail
--- a/packages/protocol/ggv/protocol/message/peer_message.hpp
+++ b/packages/protocol/ggv/protocol/message/peer_message.hpp
@@ -22,6 +22,7 @@
     std::uint32_t wireVersion = 0;
     HostName host;
     ProcessId process = 0;
+    MemberId member = 0; //!< Its identity in quorums if it has a data folder, else 0.
     Bytes nonce; //!< The peer proves the shared secret over it.
 
     [[nodiscard]] auto operator<=>(const Hello &) const = default;
@@ -93,7 +94,6 @@
     std::uint64_t sequence = 0; //!< Rises within one process.
     RegisterVersion version = 0; //!< In force.
     bool leaving = false;
-    MemberId member = 0; //!< Its identity if it has a data folder, else 0.
 
     [[nodiscard]] auto operator<=>(const HostReport &) const = default;
 };
@@ -140,6 +140,7 @@
 struct LeaseCall
 {
     LeaseRequest request;
+    std::uint8_t hops = 0; //!< Hosts that passed it on; bounded so that it cannot circulate.
 
     [[nodiscard]] auto operator<=>(const LeaseCall &) const = default;
 };
@@ -149,6 +150,8 @@
 {
     HostName holder;
     LeaseGrant grant;
+    RegisterVersion version = 0; //!< Newest accepted when the leader read the request.
+    std::uint64_t process = 0; //!< Of the request.
 
     [[nodiscard]] auto operator<=>(const LeaseAnswer &) const = default;
 };
