--- /dev/null
+++ b/packages/coordination/ggv/coordination/control/host_tracker.cpp
@@ -0,0 +1,72 @@
+#include <ggv/coordination/control/host_tracker.hpp>
+
+namespace ggv {
+
+void HostTracker::observe(const HostReport &report, Instant now)
+{
+    auto &known = m_hosts[report.host];
+    const bool sameProcess = known.report.process == report.process;
+    if (sameProcess && known.report.sequence >= report.sequence)
+        return;
+    known.report = report;
+    known.receivedAt = now;
+    known.refusedAt = Instant::min();
+}
+
+void HostTracker::observeRefused(const HostName &host, Instant now)
+{
+    m_hosts[host].refusedAt = now;
+}
+
+void HostTracker::clear(Instant now)
+{
+    m_hosts.clear();
+    m_startedAt = now;
+}
+
+bool HostTracker::isStopped(const HostName &host, Instant now) const
+{
+    const auto it = m_hosts.find(host);
+    return it != m_hosts.end() && it->second.refusedAt != Instant::min()
+        && now - it->second.refusedAt < StoppedEvidenceLifetime;
+}
+
+HostException HostTracker::judge(const HostName &host, Instant now) const
+{
+    const auto it = m_hosts.find(host);
+    const bool heard = it != m_hosts.end() && it->second.receivedAt != Instant::min();
+    if (isStopped(host, now))
+        return { host, HostState::Stopped, heard ? it->second.report.version : 0 };
+    if (!heard) {
+        // A new leader gives every host the time of one report before it calls it unreachable.
+        const bool waited = m_startedAt == Instant::min() || now - m_startedAt > UnreachableAfter;
+        return { host, waited ? HostState::Unreachable : HostState::Live, 0 };
+    }
+    const auto &report = it->second.report;
+    if (now - it->second.receivedAt > UnreachableAfter)
+        return { host, HostState::Unreachable, report.version };
+    return { host, report.leaving ? HostState::Leaving : HostState::Live, report.version };
+}
+
+std::vector<HostException> HostTracker::exceptions(const Register &content, Instant now) const
+{
+    std::vector<HostException> exceptions;
+    for (const auto &host : content.content().hosts) {
+        auto judged = judge(host.name, now);
+        if (judged.state != HostState::Live || judged.version != content.version())
+            exceptions.push_back(std::move(judged));
+    }
+    return exceptions;
+}
+
+std::vector<HostReport> HostTracker::reportsSince(Instant since) const
+{
+    std::vector<HostReport> reports;
+    for (const auto &[host, known] : m_hosts) {
+        if (known.receivedAt != Instant::min() && known.receivedAt >= since)
+            reports.push_back(known.report);
+    }
+    return reports;
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/peer/peer_network.cpp
@@ -0,0 +1,263 @@
+#include <ggv/coordination/peer/peer_network.hpp>
+
+#include <ggv/protocol/codec/codec.hpp>
+#include <ggv/protocol/codec/peer_codec.hpp>
+#include <ggv/transport/net/shared_secret.hpp>
+
+#include <map>
+#include <set>
+
+#include <glog/logging.h>
+
+namespace ggv {
+
+namespace {
+
+constexpr std::size_t NonceBytes = 16;
+constexpr auto ReconnectPause = std::chrono::milliseconds(200);
+
+std::string proofText(const Bytes &nonce, const Hello &prover)
+{
+    std::string text(nonce.begin(), nonce.end());
+    text += prover.host.text() + "/" + std::to_string(prover.process) + "/"
+        + std::to_string(prover.member);
+    return text;
+}
+
+} // namespace
+
+class PeerNetwork::Implementation : public std::enable_shared_from_this<PeerNetwork::Implementation>
+{
+public:
+    //! A connection from its first byte to its end.
+    struct Link
+    {
+        std::shared_ptr<FrameConnection> connection;
+        Bytes nonce; //!< Sent to the peer.
+        Hello peer; //!< Empty host until its Hello arrived.
+        bool proven = false;
+        bool dialled = false;
+    };
+    using LinkPtr = std::shared_ptr<Link>;
+
+    Implementation(boost::asio::io_context &context, PeerIdentity identity,
+                   const FrameOptions &options, PeerHandlers handlers)
+        : m_context(context)
+        , m_identity(std::move(identity))
+        , m_options(options)
+        , m_handlers(std::move(handlers))
+    { }
+
+    void listen(const Endpoint &endpoint)
+    {
+        m_listener = std::make_unique<FrameListener>(
+            m_context, endpoint, m_options, [weak = weak_from_this()](auto connection) {
+                if (const auto self = weak.lock())
+                    self->begin(std::move(connection), false);
+            });
+    }
+
+    void connect(const HostName &host)
+    {
+        const Instant now = monotonicNow();
+        if (host == m_identity.host || m_links.contains(host) || m_dialling.contains(host))
+            return;
+        if (const auto it = m_triedAt.find(host);
+            it != m_triedAt.end() && now - it->second < ReconnectPause)
+            return;
+        const auto endpoint = m_handlers.addressOf(host);
+        if (!endpoint)
+            return;
+        m_triedAt[host] = now;
+        m_dialling.insert(host);
+        connectFrames(
+            m_context, *endpoint, m_options,
+            [weak = weak_from_this(), host](auto connection) {
+                if (const auto self = weak.lock())
+                    self->dialled(host, std::move(connection));
+            },
+            [weak = weak_from_this(), host](ConnectFailure failure) {
+                if (const auto self = weak.lock())
+                    self->dialFailed(host, failure);
+            });
+    }
+
+    void dialled(const HostName &host, std::shared_ptr<FrameConnection> connection)
+    {
+        m_dialling.erase(host);
+        begin(std::move(connection), true);
+    }
+
+    void dialFailed(const HostName &host, ConnectFailure failure)
+    {
+        m_dialling.erase(host);
+        if (failure == ConnectFailure::Refused && m_handlers.onRefused)
+            m_handlers.onRefused(host);
+    }
+
+    void begin(std::shared_ptr<FrameConnection> connection, bool dialled)
+    {
+        auto link = std::make_shared<Link>();
+        link->connection = std::move(connection);
+        link->nonce = randomBytes(NonceBytes);
+        link->dialled = dialled;
+        m_opening.insert(link);
+        link->connection->start(
+            [weak = weak_from_this(), link](ByteView bytes) {
+                if (const auto self = weak.lock())
+                    self->received(link, bytes);
+            },
+            [weak = weak_from_this(), link](const Error &error) {
+                if (const auto self = weak.lock())
+                    self->closed(link, error);
+            });
+        transmit(*link, ownHello(link->nonce));
+    }
+
+    Hello ownHello(const Bytes &nonce) const
+    {
+        return Hello { WireVersion, m_identity.host, m_identity.process, m_identity.member, nonce };
+    }
+
+    void transmit(Link &link, const PeerMessage &message)
+    {
+        auto bytes = encodePeerMessage(message);
+        m_bytesSent += bytes.size() + 4;
+        link.connection->send(std::move(bytes));
+    }
+
+    void received(const LinkPtr &link, ByteView bytes)
+    {
+        PeerMessage message = decodePeerMessage(bytes);
+        if (link->proven)
+            m_handlers.onMessage(link->peer.host, std::move(message));
+        else if (const auto *hello = std::get_if<Hello>(&message))
+            acceptHello(link, *hello);
+        else if (const auto *proof = std::get_if<HelloProof>(&message))
+            acceptProof(link, *proof);
+        else
+            throw Error(ResultCode::ProtocolViolation, "message before the proof");
+    }
+
+    void acceptHello(const LinkPtr &link, const Hello &hello)
+    {
+        if (hello.wireVersion != WireVersion)
+            throw Error(ResultCode::ProtocolViolation, "other wire version");
+        if (hello.host == m_identity.host || !m_handlers.addressOf(hello.host))
+            throw Error(ResultCode::PeerNotInRegister,
+                        "host '" + hello.host.text() + "' is not in the register");
+        link->peer = hello;
+        const auto text = proofText(hello.nonce, ownHello({}));
+        transmit(*link, HelloProof { proveSecret(m_identity.secret, text) });
+    }
+
+    void acceptProof(const LinkPtr &link, const HelloProof &proof)
+    {
+        const auto expected = proveSecret(m_identity.secret, proofText(link->nonce, link->peer));
+        if (link->peer.host.empty() || !sameProof(expected, proof.proof))
+            throw Error(ResultCode::NotAuthorized, "peer does not know the shared secret");
+        link->proven = true;
+        m_opening.erase(link);
+        replaceLink(link);
+        m_handlers.onConnected(link->peer);
+    }
+
+    // A newer connection replaces the older one: the peer may have restarted.
+    void replaceLink(const LinkPtr &link)
+    {
+        auto &slot = m_links[link->peer.host];
+        if (slot)
+            m_retired.push_back(std::exchange(slot, nullptr));
+        slot = link;
+        trimRetired(link->peer.host);
+    }
+
+    // Two hosts may dial each other at once; the older connection is only read until it ends.
+    void trimRetired(const HostName &host)
+    {
+        std::size_t kept = 0;
+        for (auto it = m_retired.rbegin(); it != m_retired.rend(); ++it) {
+            if ((*it)->peer.host == host && ++kept > 1)
+                (*it)->connection->close();
+        }
+        std::erase_if(m_retired, [&](const LinkPtr &link) {
+            return link->peer.host == host && kept > 1 && link != m_retired.back();
+        });
+    }
+
+    void closed(const LinkPtr &link, const Error &error)
+    {
+        m_opening.erase(link);
+        std::erase(m_retired, link);
+        if (error.code() == ResultCode::PeerNotInRegister
+            || error.code() == ResultCode::NotAuthorized
+            || error.code() == ResultCode::ProtocolViolation)
+            LOG(WARNING) << "peer: connection refused: " << error.what();
+        const auto it = m_links.find(link->peer.host);
+        if (it == m_links.end() || it->second != link)
+            return;
+        m_links.erase(it);
+        m_handlers.onDisconnected(link->peer.host);
+    }
+
+    boost::asio::io_context &m_context;
+    PeerIdentity m_identity;
+    FrameOptions m_options;
+    PeerHandlers m_handlers;
+    std::unique_ptr<FrameListener> m_listener;
+    std::map<HostName, LinkPtr> m_links;
+    std::set<LinkPtr> m_opening;
+    std::vector<LinkPtr> m_retired;
+    std::set<HostName> m_dialling;
+    std::map<HostName, Instant> m_triedAt;
+    std::uint64_t m_bytesSent = 0;
+};
+
+PeerNetwork::PeerNetwork(boost::asio::io_context &context, PeerIdentity identity,
+                         const FrameOptions &options, PeerHandlers handlers)
+    : m_implementation(std::make_shared<Implementation>(context, std::move(identity), options,
+                                                        std::move(handlers)))
+{ }
+
+PeerNetwork::~PeerNetwork() = default;
+
+void PeerNetwork::listen(const Endpoint &endpoint) { m_implementation->listen(endpoint); }
+
+void PeerNetwork::send(const HostName &host, const PeerMessage &message)
+{
+    const auto it = m_implementation->m_links.find(host);
+    if (it == m_implementation->m_links.end())
+        m_implementation->connect(host);
+    else
+        m_implementation->transmit(*it->second, message);
+}
+
+void PeerNetwork::connect(const HostName &host) { m_implementation->connect(host); }
+
+bool PeerNetwork::connected(const HostName &host) const
+{
+    return m_implementation->m_links.contains(host);
+}
+
+std::vector<HostName> PeerNetwork::connectedHosts() const
+{
+    std::vector<HostName> hosts;
+    for (const auto &[host, link] : m_implementation->m_links)
+        hosts.push_back(host);
+    return hosts;
+}
+
+void PeerNetwork::disconnect(const HostName &host)
+{
+    const auto it = m_implementation->m_links.find(host);
+    if (it == m_implementation->m_links.end())
+        return;
+    const auto link = it->second;
+    m_implementation->m_links.erase(it);
+    link->connection->close();
+    m_implementation->m_handlers.onDisconnected(host);
+}
+
+std::uint64_t PeerNetwork::bytesSent() const noexcept { return m_implementation->m_bytesSent; }
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -0,0 +1,176 @@
+#include <ggv/coordination/quorum/quorum.hpp>
+
+#include <unordered_map>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <glog/logging.h>
+
+namespace ggv {
+
+class Quorum::Implementation : public std::enable_shared_from_this<Quorum::Implementation>
+{
+public:
+    Implementation(boost::asio::io_context &context, QuorumSetup setup, SendHandler onSend)
+        : m_context(context)
+        , m_timer(context)
+        , m_setup(std::move(setup))
+        , m_onSend(std::move(onSend))
+    { }
+
+    // Runs a function of the member; a storage failure ends the process.
+    template <typename Function>
+    auto guarded(Function function)
+    {
+        try {
+            return function(*m_raft);
+        } catch (const Error &error) {
+            LOG(FATAL) << "quorum " << m_setup.name << ": storage failed: " << error.what();
+            throw;
+        }
+    }
+
+    // Several events in one turn of the loop share one sync.
+    void scheduleFlush()
+    {
+        if (std::exchange(m_flushPending, true))
+            return;
+        boost::asio::post(m_context, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->flush();
+        });
+    }
+
+    void flush()
+    {
+        m_flushPending = false;
+        RaftOutput output = guarded([](Raft &raft) { return raft.takeOutput(); });
+        for (auto &message : output.messages)
+            m_onSend(std::move(message));
+        for (const auto &completion : output.completions)
+            finish(completion);
+        if (output.leadershipChanged)
+            logLeadership();
+        armTimer();
+    }
+
+    void finish(const Completion &completion)
+    {
+        const auto it = m_waiting.find(completion.ticket);
+        if (it == m_waiting.end())
+            return;
+        auto handler = std::move(it->second);
+        m_waiting.erase(it);
+        handler(completion);
+    }
+
+    void logLeadership() const
+    {
+        const auto status = m_raft->status();
+        LOG(INFO) << "quorum " << m_setup.name << ": term " << status.term << ", leader "
+                  << status.leader << (status.role == RaftRole::Leader ? " (this host)" : "");
+    }
+
+    void armTimer()
+    {
+        const Instant deadline = m_raft->nextDeadline();
+        if (deadline == m_armedFor)
+            return;
+        m_armedFor = deadline;
+        m_timer.expires_at(std::chrono::steady_clock::time_point(deadline.time_since_epoch()));
+        m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+            const auto self = weak.lock();
+            if (ec || !self)
+                return;
+            self->m_armedFor = Instant::min();
+            self->guarded([](Raft &raft) { raft.tick(monotonicNow()); });
+            self->flush();
+        });
+    }
+
+    void await(Ticket ticket, CompletionHandler onDone)
+    {
+        m_waiting.emplace(ticket, std::move(onDone));
+        scheduleFlush();
+    }
+
+    boost::asio::io_context &m_context;
+    boost::asio::steady_timer m_timer;
+    QuorumSetup m_setup;
+    SendHandler m_onSend;
+    std::unique_ptr<LogStore> m_store;
+    std::unique_ptr<Raft> m_raft;
+    std::unordered_map<Ticket, CompletionHandler> m_waiting;
+    Instant m_armedFor = Instant::min();
+    bool m_flushPending = false;
+};
+
+Quorum::Quorum(std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+Quorum::~Quorum() = default;
+
+Result<std::unique_ptr<Quorum>> Quorum::start(boost::asio::io_context &context, Disk &disk,
+                                              QuorumSetup setup, StateMachine &machine,
+                                              SendHandler onSend)
+{
+    try {
+        auto implementation
+            = std::make_shared<Implementation>(context, std::move(setup), std::move(onSend));
+        const auto &started = implementation->m_setup;
+        implementation->m_store = LogStore::open(disk, started.filePrefix, started.self).value();
+        implementation->m_raft
+            = Raft::create(started.self, started.bootstrapVoters, started.options,
+                           *implementation->m_store, machine, monotonicNow())
+                  .value();
+        implementation->scheduleFlush();
+        return std::unique_ptr<Quorum>(new Quorum(std::move(implementation)));
+    } catch (const Error &error) {
+        return error;
+    }
+}
+
+void Quorum::receive(const RaftMessage &message)
+{
+    m_implementation->guarded([&](Raft &raft) { raft.receive(message, monotonicNow()); });
+    m_implementation->scheduleFlush();
+}
+
+void Quorum::propose(Bytes command, CompletionHandler onDone)
+{
+    const Ticket ticket = m_implementation->guarded(
+        [&](Raft &raft) { return raft.propose(std::move(command), monotonicNow()); });
+    m_implementation->await(ticket, std::move(onDone));
+}
+
+void Quorum::confirmRead(CompletionHandler onDone)
+{
+    const Ticket ticket
+        = m_implementation->guarded([](Raft &raft) { return raft.confirmRead(monotonicNow()); });
+    m_implementation->await(ticket, std::move(onDone));
+}
+
+void Quorum::addMember(MemberId member)
+{
+    const Ticket ticket = m_implementation->guarded(
+        [member](Raft &raft) { return raft.addMember(member, monotonicNow()); });
+    m_implementation->await(ticket, [](const Completion &) {});
+}
+
+void Quorum::removeMember(MemberId member)
+{
+    const Ticket ticket = m_implementation->guarded(
+        [member](Raft &raft) { return raft.removeMember(member, monotonicNow()); });
+    m_implementation->await(ticket, [](const Completion &) {});
+}
+
+bool Quorum::hasLeaderLease() const
+{
+    return m_implementation->m_raft->hasLeaderLease(monotonicNow());
+}
+
+RaftStatus Quorum::status() const { return m_implementation->m_raft->status(); }
+
+} // namespace ggv
