Agree on a log among the members of a quorum

A member gives no vote for one election timeout after its start, since an earlier run may have promised it to a leader. A leader's first entry repeats the membership, so that it no longer depends on the bootstrap voters.

Completion gains NoQuorum for the removal of the last voter. Not yet covered by tests.

--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -0,0 +1,257 @@
+#include <ggv/coordination/consensus/raft.hpp>
+
+#include <ggv/coordination/consensus/raft_implementation.hpp>
+#include <ggv/protocol/codec/raft_codec.hpp>
+#include <ggv/state/core/error.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+namespace ggv {
+
+namespace {
+
+Ticket nextTicket() noexcept
+{
+    static std::atomic<Ticket> last { 0 };
+    return ++last;
+}
+
+Membership bootstrapMembership(std::vector<MemberId> voters)
+{
+    std::sort(voters.begin(), voters.end());
+    voters.erase(std::unique(voters.begin(), voters.end()), voters.end());
+    return { std::move(voters), {} };
+}
+
+// The membership that holds before the first entry.
+Membership firstMembership(const RecoveredState &recovered, std::vector<MemberId> bootstrapVoters)
+{
+    if (recovered.snapshot.index > 0)
+        return decodeMembership(recovered.snapshot.members);
+    return bootstrapMembership(std::move(bootstrapVoters));
+}
+
+void checkRecovered(const RecoveredState &recovered)
+{
+    Term term = recovered.snapshot.term;
+    for (const LogEntry &entry : recovered.entries) {
+        if (entry.term < term)
+            throw Error(ResultCode::StorageCorrupt, "terms of log entries decrease");
+        term = entry.term;
+    }
+    if (term > recovered.hardState.term)
+        throw Error(ResultCode::StorageCorrupt, "log is newer than the hard state");
+}
+
+} // namespace
+
+Raft::Implementation::Implementation(MemberId self, const RaftOptions &options,
+                                     RecoveredState recovered, Membership membership,
+                                     LogStore &store, StateMachine &machine, Instant now)
+    : m_self(self)
+    , m_options(options)
+    , m_store(store)
+    , m_machine(machine)
+    , m_hardState(recovered.hardState)
+    , m_log(store, std::move(recovered.snapshot), std::move(recovered.entries))
+    , m_members(m_log.snapshot().index, std::move(membership))
+    , m_commitIndex(m_log.snapshot().index)
+    , m_appliedIndex(m_commitIndex)
+    , m_now(now)
+    // The promise that an earlier run gave to a leader may still hold.
+    , m_leaderContact(now)
+    , m_random(options.seed ^ self)
+{
+    if (m_commitIndex > 0)
+        m_machine.restore(m_log.snapshot().state);
+    for (LogIndex index = m_commitIndex + 1; index <= m_log.lastIndex(); ++index) {
+        const LogEntry &entry = m_log.at(index);
+        if (entry.kind == static_cast<std::uint8_t>(detail::EntryKind::Membership))
+            m_members.add(index, decodeMembership(entry.payload));
+    }
+    resetElectionTimer();
+}
+
+bool Raft::Implementation::selfIsVoter() const noexcept
+{
+    return detail::isVoter(members(), m_self);
+}
+
+bool Raft::Implementation::isMember() const noexcept
+{
+    return selfIsVoter() || detail::isLearner(members(), m_self);
+}
+
+void Raft::Implementation::advanceClock(Instant now) noexcept { m_now = std::max(m_now, now); }
+
+void Raft::Implementation::send(MemberId to, RaftBody body)
+{
+    m_output.messages.push_back({ m_self, to, std::move(body) });
+}
+
+void Raft::Implementation::complete(Ticket ticket, ResultCode code, Bytes answer)
+{
+    m_output.completions.push_back({ ticket, code, std::move(answer) });
+}
+
+void Raft::Implementation::setLeader(MemberId leader) noexcept
+{
+    if (m_leader != leader)
+        m_output.leadershipChanged = true;
+    m_leader = leader;
+}
+
+void Raft::Implementation::receive(const RaftMessage &message, Instant now)
+{
+    advanceClock(now);
+    if (message.to != m_self || message.from == m_self || message.from == 0)
+        return;
+    std::visit([&](const auto &body) { handle(message.from, body); }, message.body);
+}
+
+void Raft::Implementation::tick(Instant now)
+{
+    advanceClock(now);
+    if (isLeader()) {
+        checkQuorum();
+        m_heartbeatDue = m_heartbeatDue || m_now >= m_heartbeatDeadline;
+    } else if (selfIsVoter() && m_now >= m_electionDeadline) {
+        startPreVote();
+    }
+}
+
+Ticket Raft::Implementation::propose(Bytes command, Instant now)
+{
+    advanceClock(now);
+    const Ticket ticket = nextTicket();
+    if (!isLeader()) {
+        complete(ticket, ResultCode::NotLeader);
+        return ticket;
+    }
+    appendOwn(detail::EntryKind::Command, std::move(command));
+    m_proposals.push_back({ m_log.lastIndex(), ticket });
+    return ticket;
+}
+
+Ticket Raft::Implementation::confirmRead(Instant now)
+{
+    advanceClock(now);
+    const Ticket ticket = nextTicket();
+    if (isLeader())
+        m_rounds.add(ticket);
+    else
+        complete(ticket, ResultCode::NotLeader);
+    return ticket;
+}
+
+Ticket Raft::Implementation::changeMember(MemberId member, bool add, Instant now)
+{
+    advanceClock(now);
+    const Ticket ticket = nextTicket();
+    if (isLeader())
+        m_changes.push_back({ ticket, member, add });
+    else
+        complete(ticket, ResultCode::NotLeader);
+    return ticket;
+}
+
+RaftOutput Raft::Implementation::takeOutput()
+{
+    flush();
+    return std::exchange(m_output, {});
+}
+
+bool Raft::Implementation::hasLeaderLease(Instant now) const noexcept
+{
+    constexpr std::uint32_t HundredPercent = 100;
+    if (!isLeader() || !committedOwnTerm() || !m_leaseStart)
+        return false;
+    // The leader's clock may be slow and a voter's fast, each by the whole drift.
+    const std::uint32_t drift = std::min(m_options.maxClockDriftPercent, HundredPercent);
+    const Duration lease
+        = m_options.electionTimeoutMin * (HundredPercent - drift) / (HundredPercent + drift);
+    return now < *m_leaseStart + lease;
+}
+
+Instant Raft::Implementation::nextDeadline() const noexcept
+{
+    if (isLeader())
+        return m_heartbeatDeadline;
+    return selfIsVoter() ? m_electionDeadline : Instant::max();
+}
+
+RaftStatus Raft::Implementation::status() const
+{
+    const bool isPassive = m_role == RaftRole::Follower && !selfIsVoter();
+    RaftStatus status;
+    status.role = isPassive ? RaftRole::Learner : m_role;
+    status.term = m_hardState.term;
+    status.leader = m_leader;
+    status.commitIndex = m_commitIndex;
+    status.lastIndex = m_log.lastIndex();
+    status.snapshotIndex = m_log.snapshot().index;
+    status.voters = members().voters;
+    status.learners = members().learners;
+    return status;
+}
+
+Result<std::unique_ptr<Raft>> Raft::create(MemberId self, std::vector<MemberId> bootstrapVoters,
+                                           const RaftOptions &options, LogStore &store,
+                                           StateMachine &machine, Instant now)
+{
+    try {
+        RecoveredState recovered = store.takeRecovered();
+        checkRecovered(recovered);
+        Membership membership = firstMembership(recovered, std::move(bootstrapVoters));
+        auto implementation = std::make_unique<Implementation>(
+            self, options, std::move(recovered), std::move(membership), store, machine, now);
+        return std::unique_ptr<Raft>(new Raft(std::move(implementation)));
+    } catch (const Error &error) {
+        return Error(ResultCode::StorageCorrupt, error.what());
+    }
+}
+
+Raft::Raft(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+Raft::~Raft() = default;
+
+void Raft::receive(const RaftMessage &message, Instant now)
+{
+    m_implementation->receive(message, now);
+}
+
+void Raft::tick(Instant now) { m_implementation->tick(now); }
+
+Ticket Raft::propose(Bytes command, Instant now)
+{
+    return m_implementation->propose(std::move(command), now);
+}
+
+Ticket Raft::confirmRead(Instant now) { return m_implementation->confirmRead(now); }
+
+Ticket Raft::addMember(MemberId member, Instant now)
+{
+    return m_implementation->changeMember(member, true, now);
+}
+
+Ticket Raft::removeMember(MemberId member, Instant now)
+{
+    return m_implementation->changeMember(member, false, now);
+}
+
+bool Raft::hasLeaderLease(Instant now) const noexcept
+{
+    return m_implementation->hasLeaderLease(now);
+}
+
+Instant Raft::nextDeadline() const noexcept { return m_implementation->nextDeadline(); }
+
+RaftOutput Raft::takeOutput() { return m_implementation->takeOutput(); }
+
+RaftStatus Raft::status() const { return m_implementation->status(); }
+
+} // namespace ggv
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -53,7 +53,8 @@
 {
     Ticket ticket = 0;
     ResultCode code
-        = ResultCode::Ok; //!< Ok, NotLeader (certainly not accepted), ChangeOutcomeUnknown.
+        = ResultCode::Ok; //!< Ok, NotLeader (certainly not accepted), ChangeOutcomeUnknown,
+                          //!< NoQuorum (refused to remove the last voter).
     Bytes answer; //!< Of StateMachine::apply(); empty for a read.
 };
 
@@ -83,6 +84,7 @@
  *
  * Pre-vote, check-quorum, confirmed reads, snapshots, membership changes one member at a time.
  * The driver calls the functions from one thread, then takeOutput() and sends the messages.
+ * After an exception the member must not be used any more.
  * Messages may be lost, doubled, late and out of order. State is synced before any output that
  * depends on it is given out.
  */
@@ -93,7 +95,9 @@
      * @brief Starts a member from what its store holds.
      * @param self Its identity.
      * @param bootstrapVoters The first voters, used only if the store is empty; a member that is
-     * not among them starts as a learner that never votes until the quorum takes it in.
+     * not among them starts as a learner that never votes until the quorum takes it in. They are
+     * the members of the quorum's very first start: a host that lost its disk gets a new identity
+     * and no bootstrap voters.
      * @param options Timing and sizes.
      * @param store Durable log; outlives the member.
      * @param machine Replicated content; outlives the member.
@@ -120,7 +124,7 @@
     [[nodiscard]] Ticket addMember(MemberId member, Instant now);
     //! Removes a member. @return Ticket.
     [[nodiscard]] Ticket removeMember(MemberId member, Instant now);
-    //! @return True while no other member can be leader: the check-quorum lease runs.
+    //! @return True while no other member can be leader and every accepted change is applied here.
     [[nodiscard]] bool hasLeaderLease(Instant now) const noexcept;
     //! @return When tick() is needed next.
     [[nodiscard]] Instant nextDeadline() const noexcept;
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -0,0 +1,146 @@
+#include <ggv/coordination/consensus/raft_implementation.hpp>
+#include <ggv/protocol/codec/raft_codec.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ggv {
+
+// Nothing leaves this member before what it rests on is durable.
+void Raft::Implementation::flush()
+{
+    m_log.sync();
+    advanceCommit();
+    applyCommitted();
+    if (isLeader())
+        advanceMembership();
+    m_log.sync();
+    advanceCommit();
+    applyCommitted();
+    if (!isLeader())
+        return;
+    const bool heartbeat = m_heartbeatDue || m_rounds.wanted();
+    if (heartbeat)
+        beginRound();
+    replicate(heartbeat);
+    completeReads();
+}
+
+void Raft::Implementation::commitUpTo(LogIndex index) noexcept
+{
+    m_commitIndex = std::max(m_commitIndex, index);
+}
+
+// An entry of an earlier term may be replaced although a majority has it; it is committed only by
+// one of the own term that follows it.
+void Raft::Implementation::advanceCommit()
+{
+    if (!isLeader())
+        return;
+    const auto matchOf = [this](MemberId member) {
+        if (member == m_self)
+            return m_log.durableIndex();
+        const auto it = m_progress.find(member);
+        return it == m_progress.end() ? 0 : it->second.match();
+    };
+    const LogIndex index = detail::majorityValue(members(), matchOf);
+    if (index > m_commitIndex && m_log.termAt(index) == m_hardState.term)
+        commitUpTo(index);
+}
+
+void Raft::Implementation::applyCommitted()
+{
+    while (m_appliedIndex < m_commitIndex) {
+        apply(m_log.at(m_appliedIndex + 1));
+        ++m_appliedIndex;
+    }
+    completeMemberChanges();
+    if (m_appliedIndex - m_log.snapshot().index >= m_options.snapshotAfterEntries)
+        takeSnapshot();
+    stepDownIfRemoved();
+}
+
+void Raft::Implementation::apply(const LogEntry &entry)
+{
+    if (entry.kind != static_cast<std::uint8_t>(detail::EntryKind::Command))
+        return;
+    Bytes answer = m_machine.apply(entry.index, entry.payload);
+    if (m_proposals.empty() || m_proposals.front().index != entry.index)
+        return;
+    complete(m_proposals.front().ticket, ResultCode::Ok, std::move(answer));
+    m_proposals.pop_front();
+}
+
+void Raft::Implementation::takeSnapshot()
+{
+    Snapshot snapshot;
+    snapshot.index = m_appliedIndex;
+    snapshot.term = m_log.termAt(m_appliedIndex).value_or(0);
+    snapshot.members = encodeMembership(m_members.at(m_appliedIndex));
+    snapshot.state = m_machine.encode();
+    m_log.compact(std::move(snapshot), m_options.snapshotAfterEntries);
+    m_members.compact(m_appliedIndex);
+}
+
+void Raft::Implementation::installSnapshot(const Snapshot &snapshot)
+{
+    Membership membership = decodeMembership(snapshot.members);
+    const bool keepsEntries = m_log.termAt(snapshot.index) == snapshot.term;
+    m_log.install(snapshot);
+    m_machine.restore(snapshot.state);
+    if (keepsEntries)
+        m_members.compact(snapshot.index);
+    else
+        m_members = detail::MembershipHistory(snapshot.index, std::move(membership));
+    m_commitIndex = snapshot.index;
+    m_appliedIndex = snapshot.index;
+}
+
+void Raft::Implementation::beginRound()
+{
+    m_rounds.begin(m_now);
+    m_heartbeatDue = false;
+    m_heartbeatDeadline = m_now + m_options.heartbeatInterval;
+    refreshLease();
+}
+
+std::uint64_t Raft::Implementation::confirmedRound() const
+{
+    const auto roundOf = [this](MemberId member) {
+        if (member == m_self)
+            return m_rounds.latest();
+        const auto it = m_progress.find(member);
+        return it == m_progress.end() ? 0 : it->second.ackedRound();
+    };
+    return detail::majorityValue(members(), roundOf);
+}
+
+void Raft::Implementation::refreshLease() { m_leaseStart = m_rounds.begunAt(confirmedRound()); }
+
+// Before that, changes that an earlier leader accepted may not be applied yet.
+bool Raft::Implementation::committedOwnTerm() const noexcept
+{
+    return m_appliedIndex >= m_firstOwnIndex;
+}
+
+void Raft::Implementation::completeReads()
+{
+    if (!committedOwnTerm())
+        return;
+    for (const Ticket ticket : m_rounds.takeConfirmed(confirmedRound()))
+        complete(ticket, ResultCode::Ok);
+}
+
+// Appended changes may still be committed by the next leader.
+void Raft::Implementation::failPending()
+{
+    for (const Proposal &proposal : std::exchange(m_proposals, {}))
+        complete(proposal.ticket, ResultCode::ChangeOutcomeUnknown);
+    for (const Ticket ticket : m_rounds.takeAll())
+        complete(ticket, ResultCode::NotLeader);
+    failMemberChanges();
+    m_progress.clear();
+    m_leaseStart.reset();
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -0,0 +1,174 @@
+#include <ggv/coordination/consensus/raft_implementation.hpp>
+#include <ggv/state/core/error.hpp>
+
+#include <algorithm>
+
+namespace ggv {
+
+void Raft::Implementation::handle(MemberId from, const VoteRequest &request)
+{
+    if (!isMember())
+        return;
+    if (request.preVote)
+        answerPreVote(from, request);
+    else
+        answerVote(from, request);
+}
+
+void Raft::Implementation::answerPreVote(MemberId from, const VoteRequest &request)
+{
+    const bool granted = request.term > m_hardState.term && !hearsLeader()
+        && m_log.isUpToDate(request.lastIndex, request.lastTerm);
+    const Term term = granted ? request.term : m_hardState.term;
+    send(from, VoteAnswer { term, granted, true });
+}
+
+// While a leader is heard the request is dropped: the vote was promised to nobody else, and a
+// member that was cut off must not raise the term.
+void Raft::Implementation::answerVote(MemberId from, const VoteRequest &request)
+{
+    if (hearsLeader())
+        return;
+    if (request.term > m_hardState.term)
+        becomeFollower(request.term);
+    const bool isFree = m_hardState.votedFor == 0 || m_hardState.votedFor == from;
+    const bool granted = request.term == m_hardState.term && isFree
+        && m_log.isUpToDate(request.lastIndex, request.lastTerm);
+    if (granted) {
+        saveHardState({ m_hardState.term, from });
+        resetElectionTimer();
+    }
+    send(from, VoteAnswer { m_hardState.term, granted, false });
+}
+
+bool Raft::Implementation::hearsLeader() const noexcept
+{
+    return isLeader() || m_now < m_leaderContact + m_options.electionTimeoutMin;
+}
+
+void Raft::Implementation::handle(MemberId from, const VoteAnswer &answer)
+{
+    if (!answer.granted && answer.term > m_hardState.term) {
+        becomeFollower(answer.term);
+        return;
+    }
+    if (m_role != RaftRole::Candidate || m_isPreVote != answer.preVote || !answer.granted)
+        return;
+    if (m_isPreVote)
+        countPreVote(from, answer);
+    else
+        countVote(from, answer);
+}
+
+void Raft::Implementation::countPreVote(MemberId from, const VoteAnswer &answer)
+{
+    if (answer.term != m_hardState.term + 1)
+        return;
+    m_votes.insert(from);
+    if (wonElection())
+        startElection();
+}
+
+void Raft::Implementation::countVote(MemberId from, const VoteAnswer &answer)
+{
+    if (answer.term != m_hardState.term)
+        return;
+    m_votes.insert(from);
+    if (wonElection())
+        becomeLeader();
+}
+
+bool Raft::Implementation::wonElection() const
+{
+    const auto hasVoted = [this](MemberId member) { return m_votes.contains(member) ? 1U : 0U; };
+    return detail::majorityValue(members(), hasVoted) == 1;
+}
+
+void Raft::Implementation::resetElectionTimer()
+{
+    const auto range = m_options.electionTimeoutMax - m_options.electionTimeoutMin;
+    const auto width = static_cast<std::uint64_t>(std::max(range.count(), Duration::rep { 0 })) + 1;
+    const Duration jitter(static_cast<Duration::rep>(m_random() % width));
+    m_electionDeadline = m_now + m_options.electionTimeoutMin + jitter;
+}
+
+void Raft::Implementation::campaign(bool preVote)
+{
+    m_role = RaftRole::Candidate;
+    m_isPreVote = preVote;
+    m_votes = { m_self };
+    const Term term = preVote ? m_hardState.term + 1 : m_hardState.term;
+    for (const MemberId member : members().voters) {
+        if (member != m_self)
+            send(member, VoteRequest { term, m_log.lastIndex(), m_log.lastTerm(), preVote });
+    }
+}
+
+// The term rises only once a majority would vote for this member.
+void Raft::Implementation::startPreVote()
+{
+    setLeader(0);
+    resetElectionTimer();
+    campaign(true);
+    if (wonElection())
+        startElection();
+}
+
+void Raft::Implementation::startElection()
+{
+    saveHardState({ m_hardState.term + 1, m_self });
+    resetElectionTimer();
+    campaign(false);
+    if (wonElection())
+        becomeLeader();
+}
+
+void Raft::Implementation::becomeLeader()
+{
+    m_role = RaftRole::Leader;
+    setLeader(m_self);
+    m_rounds = {};
+    m_leaseStart.reset();
+    m_progress.clear();
+    m_heartbeatDue = true;
+    // Entries of earlier terms are committed by one of the own term; it also makes the membership
+    // part of the log.
+    m_firstOwnIndex = m_log.lastIndex() + 1;
+    proposeMembership(members());
+}
+
+void Raft::Implementation::becomeFollower(Term term)
+{
+    if (term > m_hardState.term)
+        saveHardState({ term, 0 });
+    const bool wasLeader = isLeader();
+    m_role = RaftRole::Follower;
+    m_votes.clear();
+    setLeader(0);
+    resetElectionTimer();
+    if (wasLeader)
+        failPending();
+}
+
+void Raft::Implementation::saveHardState(const HardState &hardState)
+{
+    if (hardState == m_hardState)
+        return;
+    m_store.saveHardState(hardState);
+    m_hardState = hardState;
+}
+
+void Raft::Implementation::checkQuorum()
+{
+    const auto isHeard = [this](MemberId member) {
+        if (member == m_self)
+            return 1U;
+        const auto it = m_progress.find(member);
+        const auto limit = m_now - m_options.electionTimeoutMin;
+        return it != m_progress.end() && it->second.lastContact() > limit ? 1U : 0U;
+    };
+    if (detail::majorityValue(members(), isHeard) == 0)
+        becomeFollower(m_hardState.term);
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <ggv/coordination/consensus/membership_history.hpp>
+#include <ggv/coordination/consensus/raft.hpp>
+#include <ggv/coordination/consensus/raft_log.hpp>
+#include <ggv/coordination/consensus/read_rounds.hpp>
+#include <ggv/coordination/consensus/replication_progress.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace ggv {
+
+/**
+ * @brief State of one member; the sources raft_*.cpp hold one concern each.
+ *
+ * receive(), tick() and the requests only change memory and, where a promise is given, the hard
+ * state. flush() makes the log durable and only then commits, applies and sends.
+ */
+class Raft::Implementation
+{
+public:
+    Implementation(MemberId self, const RaftOptions &options, RecoveredState recovered,
+                   Membership membership, LogStore &store, StateMachine &machine, Instant now);
+
+    void receive(const RaftMessage &message, Instant now);
+    void tick(Instant now);
+    Ticket propose(Bytes command, Instant now);
+    Ticket confirmRead(Instant now);
+    Ticket changeMember(MemberId member, bool add, Instant now);
+    RaftOutput takeOutput();
+    bool hasLeaderLease(Instant now) const noexcept;
+    Instant nextDeadline() const noexcept;
+    RaftStatus status() const;
+
+private:
+    struct Proposal
+    {
+        LogIndex index;
+        Ticket ticket;
+    };
+
+    //! A requested change of the membership.
+    struct MembershipChange
+    {
+        Ticket ticket;
+        MemberId member;
+        bool add;
+        bool begun = false; //!< An entry for it was appended.
+    };
+
+    // --- raft.cpp
+    [[nodiscard]] bool isLeader() const noexcept { return m_role == RaftRole::Leader; }
+    [[nodiscard]] const Membership &members() const noexcept { return m_members.current(); }
+    [[nodiscard]] bool selfIsVoter() const noexcept;
+    [[nodiscard]] bool isMember() const noexcept;
+    void advanceClock(Instant now) noexcept;
+    void send(MemberId to, RaftBody body);
+    void complete(Ticket ticket, ResultCode code, Bytes answer = {});
+    void setLeader(MemberId leader) noexcept;
+
+    // --- raft_election.cpp
+    void handle(MemberId from, const VoteRequest &request);
+    void handle(MemberId from, const VoteAnswer &answer);
+    void answerPreVote(MemberId from, const VoteRequest &request);
+    void answerVote(MemberId from, const VoteRequest &request);
+    void countPreVote(MemberId from, const VoteAnswer &answer);
+    void countVote(MemberId from, const VoteAnswer &answer);
+    [[nodiscard]] bool hearsLeader() const noexcept;
+    [[nodiscard]] bool wonElection() const;
+    void resetElectionTimer();
+    void campaign(bool preVote);
+    void startPreVote();
+    void startElection();
+    void becomeLeader();
+    void becomeFollower(Term term);
+    void saveHardState(const HardState &hardState);
+    void checkQuorum();
+
+    // --- raft_replication.cpp
+    void handle(MemberId from, const AppendRequest &request);
+    void handle(MemberId from, const AppendAnswer &answer);
+    void handle(MemberId from, const InstallSnapshot &request);
+    [[nodiscard]] bool acceptLeader(MemberId from, Term term);
+    [[nodiscard]] std::optional<LogIndex> findConflict(const AppendRequest &request) const;
+    void takeEntries(const AppendRequest &request);
+    void appendEntry(LogEntry entry);
+    void appendOwn(detail::EntryKind kind, Bytes payload);
+    void installSnapshot(const Snapshot &snapshot);
+    void answerAppend(MemberId to, bool accepted, LogIndex lastIndex, std::uint64_t readRound);
+    void replicate(bool heartbeat);
+    void replicateTo(MemberId member, detail::ReplicationProgress &progress, bool heartbeat);
+    void sendEntries(MemberId member, detail::ReplicationProgress &progress);
+    void sendHeartbeat(MemberId member, const detail::ReplicationProgress &progress);
+    void sendSnapshot(MemberId member, detail::ReplicationProgress &progress);
+    void sendAppend(MemberId member, LogIndex previous, std::vector<LogEntry> entries);
+
+    // --- raft_commit.cpp
+    void flush();
+    void commitUpTo(LogIndex index) noexcept;
+    void advanceCommit();
+    void applyCommitted();
+    void apply(const LogEntry &entry);
+    void takeSnapshot();
+    void beginRound();
+    void completeReads();
+    void failPending();
+    [[nodiscard]] std::uint64_t confirmedRound() const;
+    [[nodiscard]] bool committedOwnTerm() const noexcept;
+    void refreshLease();
+
+    // --- raft_membership.cpp
+    void membershipAppended(LogIndex index, ByteView payload);
+    void updateProgress();
+    void advanceMembership();
+    bool beginChange(MembershipChange &change);
+    void promoteLearner();
+    [[nodiscard]] bool isCaughtUp(MemberId learner) const;
+    void proposeMembership(const Membership &membership);
+    void completeMemberChanges();
+    void failSuperseded(const std::set<MemberId> &removed);
+    void stepDownIfRemoved();
+    void failMemberChanges();
+
+    const MemberId m_self;
+    const RaftOptions m_options;
+    LogStore &m_store;
+    StateMachine &m_machine;
+
+    HardState m_hardState;
+    detail::RaftLog m_log;
+    detail::MembershipHistory m_members;
+    LogIndex m_commitIndex;
+    LogIndex m_appliedIndex;
+
+    RaftRole m_role = RaftRole::Follower;
+    MemberId m_leader = 0;
+    Instant m_now;
+    Instant m_leaderContact; // Start of the promise to vote for nobody else.
+    Instant m_electionDeadline;
+    std::mt19937_64 m_random;
+
+    // Candidate.
+    bool m_isPreVote = false;
+    std::set<MemberId> m_votes;
+
+    // Leader.
+    std::map<MemberId, detail::ReplicationProgress> m_progress;
+    LogIndex m_firstOwnIndex = 0;
+    Instant m_heartbeatDeadline;
+    bool m_heartbeatDue = false;
+    detail::ReadRounds m_rounds;
+    std::optional<Instant> m_leaseStart;
+    std::deque<Proposal> m_proposals;
+    std::deque<MembershipChange> m_changes;
+
+    RaftOutput m_output;
+};
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft_log.cpp
@@ -0,0 +1,109 @@
+#include <ggv/coordination/consensus/raft_log.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace ggv::detail {
+
+RaftLog::RaftLog(LogStore &store, Snapshot snapshot, std::vector<LogEntry> entries)
+    : m_store(store)
+    , m_snapshot(std::move(snapshot))
+    , m_baseIndex(m_snapshot.index)
+    , m_baseTerm(m_snapshot.term)
+    , m_entries(std::make_move_iterator(entries.begin()), std::make_move_iterator(entries.end()))
+    , m_durable(lastIndex())
+{ }
+
+Term RaftLog::lastTerm() const noexcept
+{
+    return m_entries.empty() ? m_baseTerm : m_entries.back().term;
+}
+
+std::optional<Term> RaftLog::termAt(LogIndex index) const noexcept
+{
+    if (index < m_baseIndex || index > lastIndex())
+        return std::nullopt;
+    if (index == m_baseIndex)
+        return m_baseTerm;
+    return m_entries[index - m_baseIndex - 1].term;
+}
+
+const LogEntry &RaftLog::at(LogIndex index) const { return m_entries.at(index - m_baseIndex - 1); }
+
+bool RaftLog::isUpToDate(LogIndex index, Term term) const noexcept
+{
+    return std::pair(term, index) >= std::pair(lastTerm(), lastIndex());
+}
+
+LogIndex RaftLog::firstOfTerm(LogIndex index, LogIndex lowest) const
+{
+    const auto term = termAt(index);
+    while (index > lowest && termAt(index - 1) == term)
+        --index;
+    return index;
+}
+
+std::vector<LogEntry> RaftLog::slice(LogIndex from, std::uint64_t maxBytes) const
+{
+    std::vector<LogEntry> entries;
+    std::uint64_t bytes = 0;
+    for (LogIndex index = from; index <= lastIndex(); ++index) {
+        const LogEntry &entry = at(index);
+        bytes += entry.payload.size();
+        if (!entries.empty() && bytes > maxBytes)
+            break;
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+void RaftLog::append(LogEntry entry)
+{
+    m_store.append({ entry });
+    cutFrom(entry.index);
+    m_entries.push_back(std::move(entry));
+}
+
+void RaftLog::sync()
+{
+    if (m_durable == lastIndex())
+        return;
+    m_store.sync();
+    m_durable = lastIndex();
+}
+
+void RaftLog::cutFrom(LogIndex index)
+{
+    if (index <= lastIndex())
+        m_entries.resize(index - m_baseIndex - 1);
+    m_durable = std::min(m_durable, index - 1);
+}
+
+void RaftLog::compact(Snapshot snapshot, std::uint64_t keep)
+{
+    m_store.saveSnapshot(snapshot);
+    m_snapshot = std::move(snapshot);
+    while (m_baseIndex + keep < m_snapshot.index) {
+        m_baseIndex = m_entries.front().index;
+        m_baseTerm = m_entries.front().term;
+        m_entries.pop_front();
+    }
+}
+
+void RaftLog::install(const Snapshot &snapshot)
+{
+    m_store.saveSnapshot(snapshot);
+    m_snapshot = snapshot;
+    if (termAt(snapshot.index) == snapshot.term) {
+        const auto covered = static_cast<std::ptrdiff_t>(snapshot.index - m_baseIndex);
+        m_entries.erase(m_entries.begin(), m_entries.begin() + covered);
+    } else {
+        m_entries.clear();
+    }
+    m_baseIndex = snapshot.index;
+    m_baseTerm = snapshot.term;
+    m_durable = lastIndex();
+}
+
+} // namespace ggv::detail
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
@@ -0,0 +1,140 @@
+#include <ggv/coordination/consensus/raft_implementation.hpp>
+#include <ggv/protocol/codec/raft_codec.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ggv {
+
+namespace {
+
+constexpr LogIndex MaxPromotionLag = 16; // Entries that a learner may be behind when promoted.
+
+} // namespace
+
+// A membership holds from its entry on, whether committed or not.
+void Raft::Implementation::membershipAppended(LogIndex index, ByteView payload)
+{
+    m_members.add(index, decodeMembership(payload));
+    if (isLeader())
+        updateProgress();
+}
+
+void Raft::Implementation::updateProgress()
+{
+    std::erase_if(m_progress, [this](const auto &it) {
+        return !detail::isVoter(members(), it.first) && !detail::isLearner(members(), it.first);
+    });
+    const auto add = [this](MemberId member) {
+        if (member != m_self)
+            m_progress.try_emplace(member, m_log.lastIndex(), m_now);
+    };
+    std::for_each(members().voters.begin(), members().voters.end(), add);
+    std::for_each(members().learners.begin(), members().learners.end(), add);
+    refreshLease();
+}
+
+// One change at a time, and none before an entry of the own term is committed: two memberships
+// that differ by one member always share a majority.
+void Raft::Implementation::advanceMembership()
+{
+    while (committedOwnTerm() && m_members.currentIndex() <= m_commitIndex) {
+        const auto next = std::find_if(m_changes.begin(), m_changes.end(),
+                                       [](const MembershipChange &it) { return !it.begun; });
+        if (next == m_changes.end()) {
+            promoteLearner();
+            return;
+        }
+        if (!beginChange(*next))
+            m_changes.erase(next);
+    }
+}
+
+// Returns false if the change is complete without an entry.
+bool Raft::Implementation::beginChange(MembershipChange &change)
+{
+    const bool present
+        = detail::isVoter(members(), change.member) || detail::isLearner(members(), change.member);
+    const bool done = change.add ? detail::isVoter(members(), change.member) : !present;
+    const Membership reduced = detail::without(members(), change.member);
+    if (done || (!change.add && reduced.voters.empty())) {
+        complete(change.ticket, done ? ResultCode::Ok : ResultCode::NoQuorum);
+        return false;
+    }
+    change.begun = true;
+    if (!change.add)
+        proposeMembership(reduced);
+    else if (!present)
+        proposeMembership(detail::withLearner(members(), change.member));
+    return true;
+}
+
+void Raft::Implementation::promoteLearner()
+{
+    for (const MemberId learner : members().learners) {
+        if (isCaughtUp(learner)) {
+            proposeMembership(detail::withVoter(members(), learner));
+            return;
+        }
+    }
+}
+
+bool Raft::Implementation::isCaughtUp(MemberId learner) const
+{
+    const auto it = m_progress.find(learner);
+    if (it == m_progress.end() || it->second.match() < m_members.currentIndex())
+        return false;
+    const bool isHeard = it->second.lastContact() > m_now - m_options.electionTimeoutMin;
+    return isHeard && it->second.match() + MaxPromotionLag >= m_log.lastIndex();
+}
+
+void Raft::Implementation::proposeMembership(const Membership &membership)
+{
+    appendOwn(detail::EntryKind::Membership, encodeMembership(membership));
+}
+
+void Raft::Implementation::completeMemberChanges()
+{
+    if (m_changes.empty())
+        return;
+    const Membership &committed = m_members.at(m_commitIndex);
+    std::set<MemberId> removed;
+    std::erase_if(m_changes, [&](const MembershipChange &change) {
+        const bool voter = detail::isVoter(committed, change.member);
+        const bool present = voter || detail::isLearner(committed, change.member);
+        const bool done = change.begun && (change.add ? voter : !present);
+        if (done)
+            complete(change.ticket, ResultCode::Ok);
+        if (done && !change.add)
+            removed.insert(change.member);
+        return done;
+    });
+    failSuperseded(removed);
+}
+
+// A learner that was removed before it became a voter.
+void Raft::Implementation::failSuperseded(const std::set<MemberId> &removed)
+{
+    std::erase_if(m_changes, [&](const MembershipChange &change) {
+        const bool superseded = change.begun && change.add && removed.contains(change.member);
+        if (superseded)
+            complete(change.ticket, ResultCode::ChangeOutcomeUnknown);
+        return superseded;
+    });
+}
+
+void Raft::Implementation::stepDownIfRemoved()
+{
+    if (isLeader() && !selfIsVoter() && m_members.currentIndex() <= m_commitIndex)
+        becomeFollower(m_hardState.term);
+}
+
+void Raft::Implementation::failMemberChanges()
+{
+    for (const MembershipChange &change : std::exchange(m_changes, {})) {
+        const auto code = change.begun ? ResultCode::ChangeOutcomeUnknown : ResultCode::NotLeader;
+        complete(change.ticket, code);
+    }
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
@@ -0,0 +1,208 @@
+#include <ggv/coordination/consensus/raft_implementation.hpp>
+#include <ggv/protocol/codec/raft_codec.hpp>
+#include <ggv/state/core/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ggv {
+
+namespace {
+
+bool isMembership(ByteView bytes)
+{
+    try {
+        return !decodeMembership(bytes).voters.empty();
+    } catch (const Error &) {
+        return false;
+    }
+}
+
+bool isWellFormed(const LogEntry &entry)
+{
+    if (entry.kind == static_cast<std::uint8_t>(detail::EntryKind::Membership))
+        return isMembership(entry.payload);
+    return entry.kind == static_cast<std::uint8_t>(detail::EntryKind::Command);
+}
+
+// True if the entries follow each other and come from no later term than the request.
+bool isWellFormed(const AppendRequest &request)
+{
+    LogIndex index = request.previousIndex;
+    Term term = request.previousTerm;
+    for (const LogEntry &entry : request.entries) {
+        if (entry.index != ++index || entry.term < term || entry.term > request.term)
+            return false;
+        if (!isWellFormed(entry))
+            return false;
+        term = entry.term;
+    }
+    return true;
+}
+
+} // namespace
+
+// --- Receiving side.
+
+bool Raft::Implementation::acceptLeader(MemberId from, Term term)
+{
+    if (term < m_hardState.term) {
+        answerAppend(from, false, m_log.lastIndex(), 0);
+        return false;
+    }
+    if (term == m_hardState.term && isLeader())
+        throw Error(ResultCode::Internal, "two leaders in one term");
+    if (term > m_hardState.term || m_role != RaftRole::Follower)
+        becomeFollower(term);
+    setLeader(from);
+    m_leaderContact = m_now;
+    resetElectionTimer();
+    return true;
+}
+
+void Raft::Implementation::handle(MemberId from, const AppendRequest &request)
+{
+    if (!isWellFormed(request) || !acceptLeader(from, request.term))
+        return;
+    if (const auto hint = findConflict(request)) {
+        answerAppend(from, false, *hint, request.readRound);
+        return;
+    }
+    takeEntries(request);
+    const LogIndex matched = request.previousIndex + request.entries.size();
+    commitUpTo(std::min(request.commitIndex, matched));
+    answerAppend(from, true, std::max(matched, m_commitIndex), request.readRound);
+}
+
+// Committed entries agree with every later leader; the one before the request's must do so too.
+std::optional<LogIndex> Raft::Implementation::findConflict(const AppendRequest &request) const
+{
+    const LogIndex previous = request.previousIndex;
+    if (previous <= m_commitIndex)
+        return std::nullopt;
+    if (previous > m_log.lastIndex())
+        return m_log.lastIndex();
+    if (m_log.termAt(previous) == request.previousTerm)
+        return std::nullopt;
+    return m_log.firstOfTerm(previous, m_commitIndex + 1) - 1;
+}
+
+void Raft::Implementation::takeEntries(const AppendRequest &request)
+{
+    for (const LogEntry &entry : request.entries) {
+        const bool isKnown
+            = entry.index <= m_commitIndex || m_log.termAt(entry.index) == entry.term;
+        if (!isKnown)
+            appendEntry(entry);
+    }
+}
+
+void Raft::Implementation::appendEntry(LogEntry entry)
+{
+    m_members.cutFrom(entry.index);
+    m_log.append(std::move(entry));
+    const LogEntry &added = m_log.at(m_log.lastIndex());
+    if (added.kind == static_cast<std::uint8_t>(detail::EntryKind::Membership))
+        membershipAppended(added.index, added.payload);
+}
+
+void Raft::Implementation::appendOwn(detail::EntryKind kind, Bytes payload)
+{
+    const auto number = static_cast<std::uint8_t>(kind);
+    appendEntry({ m_log.lastIndex() + 1, m_hardState.term, number, std::move(payload) });
+}
+
+void Raft::Implementation::handle(MemberId from, const InstallSnapshot &request)
+{
+    if (!isMembership(request.snapshot.members) || !acceptLeader(from, request.term))
+        return;
+    if (request.snapshot.index > m_commitIndex)
+        installSnapshot(request.snapshot);
+    answerAppend(from, true, m_commitIndex, request.readRound);
+}
+
+void Raft::Implementation::answerAppend(MemberId to, bool accepted, LogIndex lastIndex,
+                                        std::uint64_t readRound)
+{
+    send(to, AppendAnswer { m_hardState.term, accepted, lastIndex, readRound });
+}
+
+// --- Sending side.
+
+void Raft::Implementation::handle(MemberId from, const AppendAnswer &answer)
+{
+    if (answer.term > m_hardState.term) {
+        becomeFollower(answer.term);
+        return;
+    }
+    const auto it = m_progress.find(from);
+    if (!isLeader() || answer.term < m_hardState.term || it == m_progress.end())
+        return;
+    detail::ReplicationProgress &progress = it->second;
+    progress.contacted(std::min(answer.readRound, m_rounds.latest()), m_now);
+    if (!answer.accepted)
+        progress.refused(std::min(answer.lastIndex, m_log.lastIndex()));
+    else if (answer.lastIndex <= m_log.lastIndex())
+        progress.accepted(answer.lastIndex);
+    refreshLease();
+}
+
+void Raft::Implementation::replicate(bool heartbeat)
+{
+    for (auto &[member, progress] : m_progress)
+        replicateTo(member, progress, heartbeat);
+}
+
+void Raft::Implementation::replicateTo(MemberId member, detail::ReplicationProgress &progress,
+                                       bool heartbeat)
+{
+    const auto before = m_output.messages.size();
+    while (progress.maySend() && progress.next() <= m_log.lastIndex())
+        sendEntries(member, progress);
+    if (heartbeat && m_output.messages.size() == before)
+        sendHeartbeat(member, progress);
+}
+
+void Raft::Implementation::sendEntries(MemberId member, detail::ReplicationProgress &progress)
+{
+    if (!m_log.termAt(progress.next() - 1)) {
+        sendSnapshot(member, progress);
+        return;
+    }
+    auto entries = m_log.slice(progress.next(), m_options.maxAppendBytes);
+    const LogIndex previous = progress.next() - 1;
+    progress.sent(previous + entries.size());
+    sendAppend(member, previous, std::move(entries));
+}
+
+// A lost snapshot is sent again; a lost request shows by the refusal of this one.
+void Raft::Implementation::sendHeartbeat(MemberId member,
+                                         const detail::ReplicationProgress &progress)
+{
+    const bool isSnapshot = progress.mode() == detail::ReplicationMode::Snapshot;
+    if (isSnapshot && m_now >= progress.snapshotSentAt() + m_options.electionTimeoutMax)
+        sendSnapshot(member, m_progress.at(member));
+    else
+        sendAppend(member, isSnapshot ? 0 : progress.next() - 1, {});
+}
+
+void Raft::Implementation::sendSnapshot(MemberId member, detail::ReplicationProgress &progress)
+{
+    progress.snapshotSent(m_log.snapshot().index, m_now);
+    send(member, InstallSnapshot { m_hardState.term, m_rounds.latest(), m_log.snapshot() });
+}
+
+void Raft::Implementation::sendAppend(MemberId member, LogIndex previous,
+                                      std::vector<LogEntry> entries)
+{
+    AppendRequest request;
+    request.term = m_hardState.term;
+    request.previousIndex = previous;
+    request.previousTerm = m_log.termAt(previous).value_or(0);
+    request.commitIndex = m_commitIndex;
+    request.readRound = m_rounds.latest();
+    request.entries = std::move(entries);
+    send(member, std::move(request));
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/consensus/replication_progress.cpp
@@ -0,0 +1,86 @@
+#include <ggv/coordination/consensus/replication_progress.hpp>
+
+#include <algorithm>
+
+namespace ggv::detail {
+
+namespace {
+
+constexpr std::size_t MaxRequestsInFlight = 32;
+
+} // namespace
+
+ReplicationProgress::ReplicationProgress(LogIndex next, Instant now) noexcept
+    : m_next(next)
+    , m_lastContact(now)
+{ }
+
+bool ReplicationProgress::maySend() const noexcept
+{
+    switch (m_mode) {
+    case ReplicationMode::Probe:
+        return !m_probeSent;
+    case ReplicationMode::Pipeline:
+        return m_inFlight.size() < MaxRequestsInFlight;
+    case ReplicationMode::Snapshot:
+        return false;
+    }
+    return false;
+}
+
+void ReplicationProgress::contacted(std::uint64_t round, Instant now) noexcept
+{
+    m_ackedRound = std::max(m_ackedRound, round);
+    m_lastContact = std::max(m_lastContact, now);
+}
+
+void ReplicationProgress::sent(LogIndex last)
+{
+    if (m_mode == ReplicationMode::Probe) {
+        m_probeSent = true;
+        return;
+    }
+    m_inFlight.push_back(last);
+    m_next = last + 1;
+}
+
+void ReplicationProgress::snapshotSent(LogIndex index, Instant now) noexcept
+{
+    m_mode = ReplicationMode::Snapshot;
+    m_snapshotIndex = index;
+    m_snapshotSentAt = now;
+}
+
+void ReplicationProgress::accepted(LogIndex index)
+{
+    m_match = std::max(m_match, index);
+    while (!m_inFlight.empty() && m_inFlight.front() <= m_match)
+        m_inFlight.pop_front();
+    const LogIndex wanted = m_mode == ReplicationMode::Snapshot ? m_snapshotIndex : m_next - 1;
+    if (m_mode != ReplicationMode::Pipeline && m_match >= wanted) {
+        m_mode = ReplicationMode::Pipeline;
+        m_next = m_match + 1;
+        m_inFlight.clear();
+    }
+    m_next = std::max(m_next, m_match + 1);
+}
+
+// A refusal that does not lower the next index is a late one.
+void ReplicationProgress::refused(LogIndex hint)
+{
+    if (m_mode == ReplicationMode::Snapshot || hint + 1 >= m_next)
+        return;
+    const LogIndex next = std::max(hint, m_match) + 1;
+    if (next < m_next)
+        probeFrom(next);
+}
+
+void ReplicationProgress::probeFrom(LogIndex next)
+{
+    m_mode = ReplicationMode::Probe;
+    m_next = next;
+    m_probeSent = false;
+    m_inFlight.clear();
+}
+
+} // namespace ggv::detail
