Add the pure core of leased budgets: holder and ledger

Shared limits need one party that never hands out more than the limit while any message or process may be late. A counter per request and a static split were ruled out: the first needs a round trip, the second wastes idle shares. The holder counts leases from sending, the ledger from receiving; fixed shares are lent by promises that end a known time after a grant.

--- a/packages/state/ggv/state/budget/budget.hpp
+++ b/packages/state/ggv/state/budget/budget.hpp
@@ -38,15 +38,42 @@
     [[nodiscard]] auto operator<=>(const BudgetShare &) const = default;
 };
 
+//! A leased part of a limit.
+struct LeasedShare
+{
+    BudgetKey key;
+    BudgetUnits pool = 0; //!< Backed by what no host has as its fixed share.
+    BudgetUnits borrowed = 0; //!< Backed by other hosts' promises; a new grantor never renews it.
+
+    //! @return All units of the lease.
+    [[nodiscard]] BudgetUnits units() const noexcept { return pool + borrowed; }
+
+    [[nodiscard]] auto operator<=>(const LeasedShare &) const = default;
+};
+
+//! Names one grant: sequences are only unique within the leadership of one grantor.
+struct GrantId
+{
+    std::uint64_t term = 0; //!< 0: no grant.
+    std::uint64_t sequence = 0;
+
+    [[nodiscard]] auto operator<=>(const GrantId &) const = default;
+};
+
 //! What a host asks of the grantor, in one message for all budgets.
 struct LeaseRequest
 {
     HostName holder;
     std::uint64_t sequence = 0; //!< Rises with each request of one process.
-    std::uint64_t process = 0; //!< Random number that the process drew when it started.
+    std::uint64_t process = 0; //!< Drawn at start; a later process of a host draws a higher one.
     RegisterVersion registerVersion = 0; //!< The version the holder has in force.
-    std::vector<BudgetShare> held; //!< Units that the holder may still be using, lease live or not.
-    std::vector<BudgetShare> wanted; //!< Units that the holder could use now.
+    GrantId lastGrant; //!< The newest grant that the holder has accepted.
+    std::vector<BudgetShare> held; //!< Units beyond the fixed share that are in use or leased.
+    std::vector<BudgetShare> renewable; //!< LeasedShare::pool of the live lease.
+    std::vector<BudgetShare>
+        retained; //!< Promise: of its fixed share the holder uses at most this much until the
+                  //!< promise time has passed since it received lastGrant.
+    std::vector<BudgetShare> wanted; //!< Units that the holder could use now, fixed share included.
 
     [[nodiscard]] auto operator<=>(const LeaseRequest &) const = default;
 };
@@ -55,9 +82,14 @@
 struct LeaseGrant
 {
     std::uint64_t sequence = 0; //!< Of the request.
+    std::uint64_t process = 0; //!< Of the request.
     std::uint64_t term = 0; //!< Of the grantor's leadership.
+    RegisterVersion registerVersion = 0; //!< The version that `fixed` belongs to.
     Duration lifetime { 0 }; //!< Counted by the holder from when it SENT the request.
-    std::vector<BudgetShare> shares;
+    bool renewalOnly = false; //!< Extends what the holder still holds; never raises it.
+    std::vector<LeasedShare> shares;
+    std::vector<BudgetShare> fixed; //!< Fixed share usable from now on, whatever was promised in
+                                    //!< this request or an earlier one.
 
     [[nodiscard]] auto operator<=>(const LeaseGrant &) const = default;
 };
--- /dev/null
+++ b/packages/state/ggv/state/budget/budget_ledger.cpp
@@ -0,0 +1,694 @@
+#include <ggv/state/budget/budget_ledger.hpp>
+
+#include <ggv/state/budget/fair_share.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace ggv {
+
+namespace {
+
+//! A holder can refer to as many of its latest grants.
+constexpr std::size_t RememberedGrants = 16;
+//! Wants fall by at most one part in as many per request, so that leases do not flap.
+constexpr BudgetUnits WantDecayParts = 8;
+
+//! Upper bound on the use of a fixed share while a promise of its host certainly runs.
+struct Promise
+{
+    BudgetUnits units = 0;
+    Instant end;
+};
+
+struct FixedAccount
+{
+    BudgetUnits latest = 0; // In the version in force.
+    BudgetUnits largest = 0; // In any version that the host may still have in force.
+    std::vector<Promise> promises;
+
+    BudgetUnits bound() const noexcept { return std::max(latest, largest); }
+
+    BudgetUnits useUntil(Instant end) const noexcept
+    {
+        BudgetUnits units = bound();
+        for (const Promise &promise : promises) {
+            if (promise.end >= end)
+                units = std::min(units, promise.units);
+        }
+        return units;
+    }
+
+    void addPromise(const Promise &added, Instant now)
+    {
+        std::erase_if(promises, [&](const Promise &it) {
+            return it.end < now || (it.units >= added.units && it.end <= added.end);
+        });
+        promises.push_back(added);
+    }
+
+    void lift(BudgetUnits units) noexcept
+    {
+        for (Promise &promise : promises)
+            promise.units = std::max(promise.units, units);
+    }
+};
+
+//! Units that may be in use until an instant.
+struct Holding
+{
+    std::uint64_t sequence = 0;
+    BudgetUnits pool = 0;
+    BudgetUnits units = 0;
+    Instant end;
+};
+
+struct Total
+{
+    std::int64_t pool = 0;
+    std::int64_t units = 0;
+};
+
+//! What one holder has of one budget.
+struct Claim
+{
+    std::vector<Holding> leases; // Of the current process; it uses one of them.
+    Holding reported;
+    std::vector<Holding> former; // Of earlier processes; they add up.
+    BudgetUnits wanted = 0;
+    Instant wantedUntil = Instant::min();
+
+    void forgetExpired(Instant now)
+    {
+        const auto expired = [now](const Holding &it) { return it.end < now; };
+        std::erase_if(leases, expired);
+        std::erase_if(former, expired);
+        if (expired(reported))
+            reported = Holding {};
+    }
+
+    Total current(Instant now) const noexcept
+    {
+        Total total;
+        if (reported.end >= now)
+            total.units = reported.units;
+        for (const Holding &it : leases) {
+            if (it.end < now)
+                continue;
+            total.units = std::max<std::int64_t>(total.units, it.units);
+            total.pool = std::max<std::int64_t>(total.pool, it.pool);
+        }
+        return total;
+    }
+
+    Total formerTotal(Instant now) const noexcept
+    {
+        Total total;
+        for (const Holding &it : former) {
+            if (it.end < now)
+                continue;
+            total.units += it.units;
+            total.pool += it.pool;
+        }
+        return total;
+    }
+
+    void replaceProcess(Instant now)
+    {
+        const Total total = current(now);
+        Instant end = reported.end;
+        for (const Holding &it : leases)
+            end = std::max(end, it.end);
+        if (total.units > 0)
+            former.push_back({ 0, static_cast<BudgetUnits>(total.pool),
+                               static_cast<BudgetUnits>(total.units), end });
+        leases.clear();
+        reported = Holding {};
+    }
+
+    bool idle(Instant now) const noexcept
+    {
+        return leases.empty() && former.empty() && reported.units == 0 && wantedUntil < now;
+    }
+};
+
+using HostIndex = std::uint32_t;
+
+struct KeyAccount
+{
+    BudgetKey key;
+    BudgetUnits limit = 0;
+    RegisterVersion since = 0; // The limit and the fixed shares are unchanged since this version.
+    std::map<HostIndex, FixedAccount> fixed;
+    std::map<HostIndex, Claim> claims;
+
+    std::int64_t boundSum() const noexcept
+    {
+        std::int64_t sum = 0;
+        for (const auto &[host, account] : fixed)
+            sum += account.bound();
+        return sum;
+    }
+
+    Total leased(Instant now) const noexcept
+    {
+        Total sum;
+        for (const auto &[host, claim] : claims) {
+            const Total current = claim.current(now);
+            const Total former = claim.formerTotal(now);
+            sum.units += current.units + former.units;
+            sum.pool += current.pool + former.pool;
+        }
+        return sum;
+    }
+};
+
+struct HostAccount
+{
+    HostName name;
+    std::uint64_t process = 0;
+    std::uint64_t sequence = 0;
+    Instant heardAt = Instant::min();
+    RegisterVersion reported = 0;
+    RegisterVersion checkedAgainst = 0; // Version of the limits when `reported` was taken in.
+    std::vector<KeyAccount *> fixedIn;
+    std::deque<std::pair<std::uint64_t, Instant>> grants; // Sequence and a time before sending.
+    std::vector<KeyAccount *> claimed;
+    Instant stoppedFrom = Instant::max();
+    Instant stoppedUntil = Instant::min();
+
+    bool stopped(Instant from, Instant until) const noexcept
+    {
+        return stoppedFrom <= from && stoppedUntil >= until;
+    }
+};
+
+//! One key of one request on its way to a decision.
+struct Decision
+{
+    KeyAccount &account;
+    HostIndex host;
+    BudgetUnits wanted = 0;
+    BudgetUnits retained = 0;
+    bool sameVersion = false;
+    Instant now;
+    Instant end; // No new lease counts for longer.
+};
+
+} // namespace
+
+class BudgetLedger::Implementation
+{
+public:
+    explicit Implementation(const BudgetTiming &timing)
+        : m_timing(timing)
+    { }
+
+    void setLimits(const BudgetLimits &limits)
+    {
+        if (limits.version < m_version)
+            return;
+        m_version = limits.version;
+        auto next = limits.limits.begin();
+        for (auto &[key, account] : m_keys) {
+            next = std::find_if_not(next, limits.limits.end(),
+                                    [&](const BudgetLimit &it) { return it.key < key; });
+            if (next == limits.limits.end() || next->key != key)
+                changeLimit(account, { key, 0, {} });
+        }
+        for (const BudgetLimit &limit : limits.limits)
+            changeLimit(keyOf(limit.key), limit);
+        std::erase_if(m_keys, [](const auto &entry) { return isUnused(entry.second); });
+        indexFixedShares();
+    }
+
+    void forgetHost(const HostName &host)
+    {
+        const auto it = m_indexOf.find(host);
+        if (it == m_indexOf.end())
+            return;
+        for (auto &[key, account] : m_keys)
+            account.fixed.erase(it->second);
+        m_hosts[it->second].fixedIn.clear();
+    }
+
+    void noteStopped(const StopEvidence &evidence)
+    {
+        HostAccount &host = m_hosts[hostOf(evidence.host)];
+        if (evidence.probeSentAt <= std::max(host.heardAt, m_termStart))
+            return;
+        if (host.stoppedUntil < evidence.probeSentAt)
+            host.stoppedFrom = evidence.answeredAt + m_timing.awaited(m_timing.slotDrain);
+        const Instant until = evidence.probeSentAt + m_timing.trusted(m_timing.promise);
+        host.stoppedUntil = std::max(host.stoppedUntil, until);
+    }
+
+    std::optional<LeaseGrant> answer(const LeaseRequest &request, Instant now,
+                                     const GrantorAuthority &authority)
+    {
+        if (!authority.leaderLease || authority.term < m_term)
+            return std::nullopt;
+        if (authority.term > m_term)
+            beginTerm(authority.term, now);
+        const HostIndex host = hostOf(request.holder);
+        if (!admitRequest(host, request, now))
+            return std::nullopt;
+        takeReport(host, request, now);
+        LeaseGrant grant;
+        grant.sequence = request.sequence;
+        grant.process = request.process;
+        grant.term = m_term;
+        grant.registerVersion = request.registerVersion;
+        grant.lifetime = m_timing.lifetime;
+        grant.renewalOnly = inGrace(now);
+        if (grant.renewalOnly)
+            renew(host, request, grant, now);
+        else
+            decide(host, request, grant, now);
+        rememberGrant(m_hosts[host], request.sequence, now);
+        return grant;
+    }
+
+    RegisterVersion settledVersion(Instant now)
+    {
+        if (m_term != 0 && !inGrace(now) && isSettled(now)) {
+            for (const auto &[key, account] : m_keys)
+                m_settled = std::max(m_settled, account.since);
+        }
+        return m_settled;
+    }
+
+    BudgetUse use(const BudgetKey &key, Instant now) const
+    {
+        const auto it = m_keys.find(key);
+        if (it == m_keys.end())
+            return {};
+        const Instant end = leaseEnd(key.kind, now);
+        return { it->second.limit, fixedUse(it->second, now, end), it->second.leased(now).units };
+    }
+
+private:
+    static bool isUnused(const KeyAccount &account)
+    {
+        return account.limit == 0 && account.claims.empty() && account.boundSum() == 0;
+    }
+
+    // Leaves an account alone if the limit is the same, so that the hosts need not confirm it.
+    void changeLimit(KeyAccount &account, const BudgetLimit &limit)
+    {
+        std::map<HostIndex, BudgetUnits> before;
+        std::map<HostIndex, BudgetUnits> after;
+        for (const auto &[host, fixed] : account.fixed) {
+            if (fixed.latest > 0)
+                before[host] = fixed.latest;
+        }
+        for (const FixedShare &share : limit.fixed) {
+            if (share.units > 0)
+                after[hostOf(share.host)] = share.units;
+        }
+        if (account.limit == limit.units && before == after)
+            return;
+        account.limit = limit.units;
+        account.since = m_version;
+        for (auto &[host, fixed] : account.fixed) {
+            fixed.largest = fixed.bound();
+            fixed.latest = 0;
+        }
+        for (const auto &[host, units] : after)
+            account.fixed[host].latest = units;
+        std::erase_if(account.fixed, [](const auto &it) { return it.second.bound() == 0; });
+    }
+
+    void indexFixedShares()
+    {
+        for (HostAccount &host : m_hosts) {
+            host.fixedIn.clear();
+            host.checkedAgainst = 0;
+        }
+        for (auto &[key, account] : m_keys) {
+            for (const auto &[host, fixed] : account.fixed)
+                m_hosts[host].fixedIn.push_back(&account);
+        }
+    }
+
+    KeyAccount &keyOf(const BudgetKey &key)
+    {
+        KeyAccount &account = m_keys[key];
+        account.key = key;
+        return account;
+    }
+
+    HostIndex hostOf(const HostName &name)
+    {
+        const auto [it, added]
+            = m_indexOf.try_emplace(name, static_cast<HostIndex>(m_hosts.size()));
+        if (added) {
+            m_hosts.emplace_back();
+            m_hosts.back().name = name;
+        }
+        return it->second;
+    }
+
+    Instant leaseEnd(BudgetKind kind, Instant now) const noexcept
+    {
+        return now + m_timing.awaited(m_timing.lifetime + m_timing.drain(kind));
+    }
+
+    bool inGrace(Instant now) const noexcept
+    {
+        return now <= m_termStart + m_timing.awaited(m_timing.lifetime + m_timing.slotDrain);
+    }
+
+    // Whatever the former grantor or an earlier term of this one knew is gone.
+    void beginTerm(std::uint64_t term, Instant now)
+    {
+        m_term = term;
+        m_termStart = now;
+        for (HostAccount &host : m_hosts) {
+            HostAccount fresh;
+            fresh.name = host.name;
+            fresh.fixedIn = std::move(host.fixedIn);
+            host = std::move(fresh);
+        }
+        for (auto &[key, account] : m_keys) {
+            account.claims.clear();
+            for (auto &[host, fixed] : account.fixed)
+                fixed.promises.clear();
+        }
+    }
+
+    bool admitRequest(HostIndex index, const LeaseRequest &request, Instant now)
+    {
+        HostAccount &host = m_hosts[index];
+        const bool known = host.process != 0;
+        if (known && request.process == host.process && request.sequence <= host.sequence)
+            return false;
+        const bool recent = known && host.heardAt + m_timing.awaited(m_timing.promise) >= now;
+        if (recent && request.process < host.process)
+            return false;
+        if (request.process != host.process)
+            replaceProcess(host, index, now);
+        host.process = request.process;
+        host.sequence = request.sequence;
+        host.heardAt = now;
+        host.stoppedFrom = Instant::max();
+        host.stoppedUntil = Instant::min();
+        return true;
+    }
+
+    void replaceProcess(HostAccount &host, HostIndex index, Instant now)
+    {
+        host.grants.clear();
+        for (KeyAccount *account : host.claimed)
+            account->claims[index].replaceProcess(now);
+    }
+
+    void takeReport(HostIndex index, const LeaseRequest &request, Instant now)
+    {
+        HostAccount &host = m_hosts[index];
+        const Instant *grantedAt = grantTime(host, request.lastGrant);
+        for (KeyAccount *account : host.claimed) {
+            Claim &claim = account->claims[index];
+            claim.reported = Holding {};
+            if (grantedAt != nullptr)
+                std::erase_if(claim.leases, [&](const Holding &it) {
+                    return it.sequence < request.lastGrant.sequence;
+                });
+        }
+        for (const BudgetShare &share : request.held) {
+            if (Claim *claim = claimOf(share.key, index); claim != nullptr)
+                claim->reported = { 0, 0, share.units, leaseEnd(share.key.kind, now) };
+        }
+        if (grantedAt != nullptr)
+            takePromises(index, request, *grantedAt, now);
+        confirmVersion(index, request.registerVersion);
+    }
+
+    void takePromises(HostIndex index, const LeaseRequest &request, Instant grantedAt, Instant now)
+    {
+        const Instant end = grantedAt + m_timing.trusted(m_timing.promise);
+        for (const BudgetShare &share : request.retained) {
+            FixedAccount *fixed = fixedOf(share.key, index);
+            if (fixed != nullptr)
+                fixed->addPromise({ share.units, end }, now);
+        }
+    }
+
+    // A host that adopted an account's version has no larger share of an older one in force.
+    void confirmVersion(HostIndex index, RegisterVersion version)
+    {
+        HostAccount &host = m_hosts[index];
+        if (version > m_version || (version == host.reported && host.checkedAgainst == m_version))
+            return;
+        for (KeyAccount *account : host.fixedIn) {
+            FixedAccount &fixed = account->fixed[index];
+            if (account->since <= version)
+                fixed.largest = fixed.latest;
+        }
+        host.reported = version;
+        host.checkedAgainst = m_version;
+    }
+
+    const Instant *grantTime(const HostAccount &host, const GrantId &id) const
+    {
+        if (id.term != m_term)
+            return nullptr;
+        for (const auto &[sequence, at] : host.grants) {
+            if (sequence == id.sequence)
+                return &at;
+        }
+        return nullptr;
+    }
+
+    static void rememberGrant(HostAccount &host, std::uint64_t sequence, Instant now)
+    {
+        host.grants.emplace_back(sequence, now);
+        if (host.grants.size() > RememberedGrants)
+            host.grants.pop_front();
+    }
+
+    FixedAccount *fixedOf(const BudgetKey &key, HostIndex host)
+    {
+        const auto it = m_keys.find(key);
+        if (it == m_keys.end())
+            return nullptr;
+        const auto found = it->second.fixed.find(host);
+        return found == it->second.fixed.end() ? nullptr : &found->second;
+    }
+
+    Claim *claimOf(const BudgetKey &key, HostIndex host)
+    {
+        const auto it = m_keys.find(key);
+        if (it == m_keys.end())
+            return nullptr;
+        const auto [claim, added] = it->second.claims.try_emplace(host);
+        if (added)
+            m_hosts[host].claimed.push_back(&it->second);
+        return &claim->second;
+    }
+
+    std::int64_t fixedUse(const KeyAccount &account, Instant now, Instant end) const
+    {
+        std::int64_t sum = 0;
+        for (const auto &[host, fixed] : account.fixed)
+            sum += m_hosts[host].stopped(now, end) ? 0 : fixed.useUntil(end);
+        return sum;
+    }
+
+    void renew(HostIndex host, const LeaseRequest &request, LeaseGrant &grant, Instant now)
+    {
+        for (const BudgetShare &share : request.renewable) {
+            Claim *claim = claimOf(share.key, host);
+            if (claim == nullptr)
+                continue;
+            const Instant end = leaseEnd(share.key.kind, now);
+            claim->leases.push_back({ request.sequence, share.units, share.units, end });
+            grant.shares.push_back({ share.key, share.units, 0 });
+        }
+    }
+
+    void decide(HostIndex host, const LeaseRequest &request, LeaseGrant &grant, Instant now)
+    {
+        std::map<BudgetKey, BudgetUnits> retained;
+        for (const BudgetShare &share : request.retained)
+            retained[share.key] = share.units;
+        for (const BudgetShare &share : request.wanted) {
+            const auto it = m_keys.find(share.key);
+            if (it == m_keys.end())
+                continue;
+            const auto hint = retained.find(share.key);
+            const FixedAccount *fixed = fixedOf(share.key, host);
+            const BudgetUnits own = fixed == nullptr ? 0 : fixed->latest;
+            const bool sameVersion = request.registerVersion >= it->second.since
+                && request.registerVersion <= m_version;
+            Decision decision { it->second,
+                                host,
+                                share.units,
+                                hint == retained.end() ? own : hint->second,
+                                sameVersion,
+                                now,
+                                leaseEnd(share.key.kind, now) };
+            raiseFixed(decision, grant);
+            lease(decision, request.sequence, grant);
+        }
+        forgetIdleClaims(host, now);
+    }
+
+    // Gives a host more of its fixed share: lent units come back, or a new version takes effect.
+    void raiseFixed(Decision &decision, LeaseGrant &grant) const
+    {
+        KeyAccount &account = decision.account;
+        const auto it = account.fixed.find(decision.host);
+        if (it == account.fixed.end() || !decision.sameVersion
+            || decision.wanted <= decision.retained)
+            return;
+        const Total leased = account.leased(decision.now);
+        if (account.boundSum() + leased.pool > account.limit)
+            return;
+        FixedAccount &fixed = it->second;
+        const std::int64_t counted = fixed.useUntil(decision.end);
+        const std::int64_t others = fixedUse(account, decision.now, decision.end) - counted;
+        const std::int64_t room = account.limit - leased.units - others;
+        const std::int64_t atMost = std::max<std::int64_t>(fixed.useUntil(decision.now), room);
+        const std::int64_t units = std::min({ atMost, static_cast<std::int64_t>(fixed.latest),
+                                              static_cast<std::int64_t>(decision.wanted) });
+        if (units <= decision.retained)
+            return;
+        decision.retained = static_cast<BudgetUnits>(units);
+        fixed.lift(decision.retained);
+        grant.fixed.push_back({ account.key, decision.retained });
+    }
+
+    void lease(const Decision &decision, std::uint64_t sequence, LeaseGrant &grant)
+    {
+        KeyAccount &account = decision.account;
+        Claim &claim = *claimOf(account.key, decision.host);
+        noteWant(claim, decision);
+        const Total own = claim.current(decision.now);
+        const Total leased = account.leased(decision.now);
+        const std::int64_t capacity = account.limit - fixedUse(account, decision.now, decision.end);
+        const std::int64_t free = capacity - (leased.units - own.units);
+        const std::int64_t fair = fairShare(decision, capacity);
+        const std::int64_t units = std::min(fair, free);
+        if (units <= 0)
+            return;
+        const std::int64_t freePool = account.limit - account.boundSum() - (leased.pool - own.pool);
+        const std::int64_t pool = std::clamp<std::int64_t>(freePool, 0, units);
+        const LeasedShare share { account.key, static_cast<BudgetUnits>(pool),
+                                  static_cast<BudgetUnits>(units - pool) };
+        claim.leases.push_back({ sequence, share.pool, share.units(), decision.end });
+        grant.shares.push_back(share);
+    }
+
+    void noteWant(Claim &claim, const Decision &decision) const
+    {
+        const BudgetUnits wanted
+            = decision.wanted > decision.retained ? decision.wanted - decision.retained : 0;
+        const bool recent = claim.wantedUntil >= decision.now;
+        const BudgetUnits kept = recent ? claim.wanted - claim.wanted / WantDecayParts : 0;
+        const bool slowly = wanted > 0 && kept > wanted;
+        claim.wanted = slowly ? kept : wanted;
+        claim.wantedUntil = decision.now + m_timing.awaited(m_timing.lifetime);
+        claim.forgetExpired(decision.now);
+    }
+
+    static std::int64_t fairShare(const Decision &decision, std::int64_t capacity)
+    {
+        std::vector<BudgetUnits> wants;
+        std::size_t own = 0;
+        for (const auto &[host, claim] : decision.account.claims) {
+            if (claim.wantedUntil < decision.now || claim.wanted == 0)
+                continue;
+            if (host == decision.host)
+                own = wants.size();
+            wants.push_back(claim.wanted);
+        }
+        if (decision.account.claims.at(decision.host).wanted == 0)
+            return 0;
+        const std::size_t firstExtra
+            = std::hash<std::string> {}(decision.account.key.subject) % wants.size();
+        return fairShares(capacity, wants, firstExtra)[own];
+    }
+
+    void forgetIdleClaims(HostIndex host, Instant now)
+    {
+        std::erase_if(m_hosts[host].claimed, [&](KeyAccount *account) {
+            Claim &claim = account->claims[host];
+            claim.forgetExpired(now);
+            if (!claim.idle(now))
+                return false;
+            account->claims.erase(host);
+            return true;
+        });
+    }
+
+    bool isSettled(Instant now) const
+    {
+        for (const auto &[key, account] : m_keys) {
+            for (const auto &[host, fixed] : account.fixed) {
+                if (fixed.bound() > 0 && m_hosts[host].reported < account.since)
+                    return false;
+            }
+            if (account.boundSum() + account.leased(now).pool > account.limit)
+                return false;
+        }
+        return true;
+    }
+
+    BudgetTiming m_timing;
+    RegisterVersion m_version = 0;
+    RegisterVersion m_settled = 0;
+    std::uint64_t m_term = 0;
+    Instant m_termStart = Instant::min();
+    std::map<BudgetKey, KeyAccount> m_keys;
+    std::unordered_map<HostName, HostIndex> m_indexOf;
+    std::vector<HostAccount> m_hosts;
+};
+
+Result<BudgetLedger> BudgetLedger::create(const BudgetTiming &timing)
+{
+    const Result<BudgetTiming> checked = timing.validated();
+    if (!checked)
+        return checked.error();
+    return BudgetLedger(std::make_unique<Implementation>(timing));
+}
+
+BudgetLedger::BudgetLedger(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+BudgetLedger::~BudgetLedger() = default;
+BudgetLedger::BudgetLedger(BudgetLedger &&other) noexcept = default;
+BudgetLedger &BudgetLedger::operator=(BudgetLedger &&other) noexcept = default;
+
+void BudgetLedger::setLimits(const BudgetLimits &limits) { m_implementation->setLimits(limits); }
+
+void BudgetLedger::forgetHost(const HostName &host) { m_implementation->forgetHost(host); }
+
+void BudgetLedger::noteStopped(const StopEvidence &evidence)
+{
+    m_implementation->noteStopped(evidence);
+}
+
+std::optional<LeaseGrant> BudgetLedger::answer(const LeaseRequest &request, Instant receivedAt,
+                                               const GrantorAuthority &authority)
+{
+    return m_implementation->answer(request, receivedAt, authority);
+}
+
+RegisterVersion BudgetLedger::settledVersion(Instant now)
+{
+    return m_implementation->settledVersion(now);
+}
+
+BudgetUse BudgetLedger::use(const BudgetKey &key, Instant now) const
+{
+    return m_implementation->use(key, now);
+}
+
+} // namespace ggv
