--- a/packages/state/ggv/state/steering/target_choice.cpp
+++ b/packages/state/ggv/state/steering/target_choice.cpp
@@ -49,9 +49,12 @@
 }
 
 //! One draw for all candidates, so that a region that is draining loses its share as a whole.
-Tier tierOf(const TargetCandidate &candidate, double weight, double draw) noexcept
+Tier tierOf(const TargetCandidate &candidate, double weight, double draw,
+            Duration farthest) noexcept
 {
     const bool isFar = candidate.proximity == Proximity::OtherRegion;
+    if (isFar && candidate.roundTrip > farthest)
+        return Tier::Excluded;
     if (weight <= 0.0 || candidate.inFlight >= effectiveLimit(candidate))
         return Tier::Excluded;
     if (draw < weight)
@@ -67,6 +70,29 @@
     return network + service * (1.0 + policy.loadFactor * load);
 }
 
+//! Shortest network round trip to a target of the own region that would take the request later.
+Duration nearestRoundTrip(std::span<const TargetCandidate> candidates,
+                          const ChoicePolicy &policy) noexcept
+{
+    auto nearest = Duration::max();
+    for (const auto &it : candidates) {
+        const bool isNear = it.proximity != Proximity::OtherRegion;
+        if (isNear && it.health == HealthState::Working && it.limit > 0
+            && effectiveWeight(it, policy) > 0.0)
+            nearest = std::min(nearest, it.roundTrip);
+    }
+    return nearest;
+}
+
+//! Longest round trip to another region that is shorter than waiting for a slot in the own one.
+Duration farBound(std::span<const TargetCandidate> candidates, const ChoicePolicy &policy) noexcept
+{
+    const auto nearest = nearestRoundTrip(candidates, policy);
+    if (nearest == Duration::max() || policy.nearWait == Duration::max())
+        return Duration::max();
+    return nearest + policy.nearWait;
+}
+
 void insertRanked(BestRanked &best, Ranked entry) noexcept
 {
     for (auto &it : best) {
@@ -85,11 +111,12 @@
         return order;
     const double draw = uniformFraction(random);
     const std::size_t start = random() % candidates.size();
+    const auto farthest = farBound(candidates, policy);
     BestRanked best;
     for (std::size_t n = 0; n < candidates.size(); ++n) {
         const auto &candidate = candidates[(start + n) % candidates.size()];
         const double weight = effectiveWeight(candidate, policy);
-        const auto tier = tierOf(candidate, weight, draw);
+        const auto tier = tierOf(candidate, weight, draw, farthest);
         if (tier != Tier::Excluded)
             insertRanked(best, { tier, costOf(candidate, weight, policy), candidate.index });
     }
--- /dev/null
+++ b/packages/state/test/admission/adaptive_limit_test.cpp
@@ -0,0 +1,104 @@
+#include <ggv/state/admission/adaptive_limit.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace {
+
+using namespace ggv;
+
+constexpr std::uint32_t Leased = 20;
+constexpr auto Usual = Duration(20'000);
+constexpr auto Step = Duration(100'000);
+
+void succeed(AdaptiveLimit &limit, Duration latency, int times, Instant &now)
+{
+    for (int n = 0; n < times; ++n) {
+        now += Step;
+        limit.onSuccess(latency, now);
+    }
+}
+
+class AdaptiveLimitTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AdaptiveLimitTest);
+    CPPUNIT_TEST(staysBetweenOneAndTheLease);
+    CPPUNIT_TEST(overloadLowersAndSuccessesRaiseSlowly);
+    CPPUNIT_TEST(latencyAboveTheUsualLowers);
+    CPPUNIT_TEST(coldTargetRampsUp);
+    CPPUNIT_TEST(missingReportsNeverRaise);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void staysBetweenOneAndTheLease()
+    {
+        CPPUNIT_ASSERT(rc::check("1 <= limit <= leased slots", [] {
+            auto limit = AdaptiveLimit::warm();
+            Instant now {};
+            for (const auto event :
+                 *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40))) {
+                now += Step;
+                if (event < 10)
+                    limit.onOverload(now);
+                else if (event < 20)
+                    limit.onReport({ Leased, static_cast<std::uint32_t>(event) * 2 }, now);
+                else
+                    limit.onSuccess(Usual * event, now);
+            }
+            const auto leased = *rc::gen::inRange<std::uint32_t>(0, 50);
+            RC_ASSERT(limit.limit(leased) <= leased);
+            RC_ASSERT(leased == 0 || limit.limit(leased) >= 1);
+        }));
+    }
+
+    void overloadLowersAndSuccessesRaiseSlowly()
+    {
+        auto limit = AdaptiveLimit::warm();
+        Instant now {};
+        succeed(limit, Usual, 10, now);
+        limit.onOverload(now);
+        limit.onOverload(now);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 14 }, limit.limit(Leased));
+        succeed(limit, Usual, 10, now);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 16 }, limit.limit(Leased));
+        succeed(limit, Usual, 30, now);
+        CPPUNIT_ASSERT_EQUAL(Leased, limit.limit(Leased));
+    }
+
+    void latencyAboveTheUsualLowers()
+    {
+        auto limit = AdaptiveLimit::warm();
+        Instant now {};
+        succeed(limit, Usual, 10, now);
+        succeed(limit, 6 * Usual, 20, now);
+        CPPUNIT_ASSERT(limit.limit(Leased) < Leased / 2);
+    }
+
+    void coldTargetRampsUp()
+    {
+        auto limit = AdaptiveLimit::cold();
+        Instant now {};
+        CPPUNIT_ASSERT_EQUAL(Leased / 4, limit.limit(Leased));
+        succeed(limit, Usual, 100, now);
+        CPPUNIT_ASSERT_EQUAL(Leased, limit.limit(Leased));
+        limit.reset();
+        CPPUNIT_ASSERT_EQUAL(Leased / 4, limit.limit(Leased));
+    }
+
+    void missingReportsNeverRaise()
+    {
+        auto limit = AdaptiveLimit::warm();
+        Instant now {};
+        limit.onReport({ 3, 0 }, now);
+        succeed(limit, Usual, 1'000, now);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 3 }, limit.limit(Leased));
+        limit.onReport({ 100, 0 }, now);
+        CPPUNIT_ASSERT_EQUAL(Leased, limit.limit(Leased));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdaptiveLimitTest);
+
+} // namespace
