--- a/packages/protocol/ggv/protocol/codec/peer_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/peer_codec.cpp
@@ -94,19 +94,35 @@
     static constexpr auto list = std::tuple(&BudgetShare::key, &BudgetShare::units);
 };
 
+template <>
+struct Fields<LeasedShare>
+{
+    static constexpr auto list
+        = std::tuple(&LeasedShare::key, &LeasedShare::pool, &LeasedShare::borrowed);
+};
+
+template <>
+struct Fields<GrantId>
+{
+    static constexpr auto list = std::tuple(&GrantId::term, &GrantId::sequence);
+};
+
 template <>
 struct Fields<LeaseRequest>
 {
     static constexpr auto list
         = std::tuple(&LeaseRequest::holder, &LeaseRequest::sequence, &LeaseRequest::process,
-                     &LeaseRequest::registerVersion, &LeaseRequest::held, &LeaseRequest::wanted);
+                     &LeaseRequest::registerVersion, &LeaseRequest::lastGrant, &LeaseRequest::held,
+                     &LeaseRequest::renewable, &LeaseRequest::retained, &LeaseRequest::wanted);
 };
 
 template <>
 struct Fields<LeaseGrant>
 {
-    static constexpr auto list = std::tuple(&LeaseGrant::sequence, &LeaseGrant::term,
-                                            &LeaseGrant::lifetime, &LeaseGrant::shares);
+    static constexpr auto list
+        = std::tuple(&LeaseGrant::sequence, &LeaseGrant::process, &LeaseGrant::term,
+                     &LeaseGrant::registerVersion, &LeaseGrant::lifetime, &LeaseGrant::renewalOnly,
+                     &LeaseGrant::shares, &LeaseGrant::fixed);
 };
 
 template <>
@@ -118,8 +134,8 @@
 template <>
 struct Fields<LeaseAnswer>
 {
-    static constexpr auto list = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant,
-                                            &LeaseAnswer::version, &LeaseAnswer::process);
+    static constexpr auto list
+        = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant, &LeaseAnswer::version);
 };
 
 } // namespace detail
--- a/packages/protocol/ggv/protocol/message/peer_message.hpp
+++ b/packages/protocol/ggv/protocol/message/peer_message.hpp
@@ -13,7 +13,7 @@
 
 namespace ggv {
 
-//! Random number that a process draws when it starts; tells its lives apart.
+//! Drawn when a process starts; a later process of the same host has a higher one.
 using ProcessId = std::uint64_t;
 
 //! First message on a connection, from both ends.
@@ -151,7 +151,6 @@
     HostName holder;
     LeaseGrant grant;
     RegisterVersion version = 0; //!< Newest accepted when the leader read the request.
-    std::uint64_t process = 0; //!< Of the request.
 
     [[nodiscard]] auto operator<=>(const LeaseAnswer &) const = default;
 };
