Wire the control plane: quorums, register feed, host reports and leases

Cause: the parts need one owner on one loop. Ruled out: locks between the control plane's parts; one thread for each quorum.

--- /dev/null
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -0,0 +1,539 @@
+#include <ggv/coordination/control/control_plane.hpp>
+
+#include <ggv/coordination/control/configuration_feed.hpp>
+#include <ggv/coordination/control/configuration_machine.hpp>
+#include <ggv/coordination/control/host_tracker.hpp>
+#include <ggv/coordination/control/lease_desk.hpp>
+#include <ggv/coordination/control/upstream.hpp>
+#include <ggv/coordination/node/host_identity.hpp>
+#include <ggv/coordination/peer/peer_network.hpp>
+#include <ggv/protocol/codec/change_codec.hpp>
+#include <ggv/protocol/codec/register_codec.hpp>
+#include <ggv/state/model/register_delta.hpp>
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <glog/logging.h>
+
+namespace ggv {
+
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(100);
+constexpr Duration ReportInterval = std::chrono::milliseconds(500);
+constexpr Duration ViewInterval = std::chrono::milliseconds(1000);
+constexpr Duration MemberInterval = std::chrono::milliseconds(1000);
+constexpr Duration LeaseInterval = std::chrono::milliseconds(500);
+constexpr Duration ChildLifetime = std::chrono::milliseconds(3000);
+constexpr Duration BootstrapDeadline = std::chrono::seconds(5);
+
+const char *const BootstrapChange = "bootstrap";
+
+//! True at most once in each interval.
+class Pacer
+{
+public:
+    explicit Pacer(Duration interval)
+        : m_interval(interval)
+    { }
+
+    bool due(Instant now)
+    {
+        if (now < m_next)
+            return false;
+        m_next = now + m_interval;
+        return true;
+    }
+
+    void hurry() { m_next = Instant::min(); }
+
+private:
+    Duration m_interval;
+    Instant m_next = Instant::min();
+};
+
+//! A host that has attached to this one.
+struct Child
+{
+    RegisterVersion version = 0;
+    Instant heardAt {};
+};
+
+} // namespace
+
+class ControlPlane::Implementation
+    : public std::enable_shared_from_this<ControlPlane::Implementation>
+{
+public:
+    Implementation(boost::asio::io_context &context, ControlSetup setup, ControlHandlers handlers)
+        : m_context(context)
+        , m_timer(context)
+        , m_setup(std::move(setup))
+        , m_handlers(std::move(handlers))
+        , m_self(m_setup.settings.host)
+    { }
+
+    void open()
+    {
+        const auto &settings = m_setup.settings;
+        std::uint64_t incarnation = 0;
+        if (!settings.dataFolder.empty()) {
+            m_disk = openPosixDisk(settings.dataFolder);
+            incarnation = loadIncarnation(*m_disk, m_self, m_setup.initialize);
+        }
+        const auto send = [this](const HostName &host, const PeerMessage &message) {
+            m_network->send(host, message);
+        };
+        m_quorums = std::make_unique<QuorumSet>(m_context, m_disk.get(), m_self, incarnation, send);
+        m_proposer = std::make_unique<Proposer>(*m_quorums, send);
+        m_leases = std::make_unique<LeaseDesk>(
+            m_self, *m_quorums, send, [this](const LeaseAnswer &answer) { granted(answer); });
+        m_holder.emplace(createHolder());
+        m_network = std::make_unique<PeerNetwork>(m_context, peerIdentity(), FrameOptions {},
+                                                  peerHandlers());
+        joinQuorums(*m_setup.bootstrap);
+        m_network->listen(settings.internal);
+        LOG(INFO) << "control: host " << m_self.text() << " starts, member " << m_quorums->self();
+        schedule();
+    }
+
+    void propose(const std::string &group, Bytes command, Instant deadline,
+                 Proposer::OutcomeHandler onDone)
+    {
+        m_proposer->propose(group, votersOf(group), std::move(command), deadline,
+                            std::move(onDone));
+    }
+
+    ControlReport report()
+    {
+        ControlReport report;
+        report.newest = m_feed.newest()->version();
+        report.inForce = m_published ? m_published->version() : 0;
+        report.upstream = m_upstream;
+        report.leader = leader();
+        report.view = m_view;
+        report.connected = m_network->connectedHosts();
+        report.bytesSent = m_network->bytesSent();
+        report.leading = m_quorums->leads(std::string(ControlGroup));
+        for (const auto &group : m_quorums->groups())
+            report.quorums.push_back(
+                { group, m_quorums->find(group)->status(), m_quorums->leaderOf(group) });
+        return report;
+    }
+
+    void announceLeaving()
+    {
+        m_leaving = true;
+        m_reportPacer.hurry();
+    }
+
+    boost::asio::io_context &m_context;
+
+private:
+    // Set-up.
+
+    BudgetHolder createHolder() const
+    {
+        BudgetHolderSettings settings;
+        settings.host = m_self;
+        settings.process = m_setup.process;
+        settings.startedAt = m_setup.startedAt;
+        return BudgetHolder::create(std::move(settings)).value();
+    }
+
+    PeerIdentity peerIdentity() const
+    {
+        return { m_self, m_setup.process, m_quorums->self(), m_setup.settings.secret };
+    }
+
+    PeerHandlers peerHandlers()
+    {
+        PeerHandlers handlers;
+        handlers.addressOf = [this](const HostName &host) { return addressOf(host); };
+        handlers.onMessage = [this](const HostName &host, PeerMessage message) {
+            std::visit([&](auto &body) { receive(host, body); }, message);
+        };
+        handlers.onConnected = [this](const Hello &hello) { connected(hello); };
+        handlers.onDisconnected = [this](const HostName &host) { disconnected(host); };
+        handlers.onRefused = [this](const HostName &host, Instant attemptedAt) {
+            refused(host, attemptedAt);
+        };
+        return handlers;
+    }
+
+    const Register &known() const
+    {
+        return m_feed.newest()->version() > 0 ? *m_feed.newest() : *m_setup.bootstrap;
+    }
+
+    std::optional<Endpoint> addressOf(const HostName &host) const
+    {
+        if (const auto *entry = known().host(host))
+            return entry->internal;
+        // A host that is new here may be in a register that this host has not heard of yet.
+        if (const auto *entry = m_setup.bootstrap->host(host);
+            entry != nullptr && m_feed.inForce() == nullptr)
+            return entry->internal;
+        return std::nullopt;
+    }
+
+    std::vector<HostName> votersOf(const std::string &group) const
+    {
+        if (group == ControlGroup)
+            return known().content().controlVoters;
+        const auto *claimGroup = known().claimGroup(ClaimGroupName(group));
+        return claimGroup == nullptr ? std::vector<HostName>() : claimGroup->voters;
+    }
+
+    void joinQuorums(const Register &content)
+    {
+        if (!m_disk)
+            return;
+        const auto &voters = content.content().controlVoters;
+        if (isControlVoter(content, m_self) && !m_quorums->contains(std::string(ControlGroup)))
+            m_quorums->join(std::string(ControlGroup), voters, createConfigurationMachine());
+    }
+
+    std::unique_ptr<ConfigurationMachine> createConfigurationMachine()
+    {
+        auto machine = std::make_unique<ConfigurationMachine>(
+            [this](std::shared_ptr<const Register> content, ByteView delta) {
+                if (m_feed.accept(std::move(content), delta))
+                    registerKnown();
+            });
+        return machine;
+    }
+
+    // Connections.
+
+    void connected(const Hello &hello)
+    {
+        m_quorums->learnMember(hello.host, hello.member);
+        m_requestPacer.hurry();
+    }
+
+    void disconnected(const HostName &host)
+    {
+        m_children.erase(host);
+        if (host == m_upstream)
+            m_upstream = {};
+    }
+
+    void refused(const HostName &host, Instant attemptedAt)
+    {
+        const Instant now = monotonicNow();
+        m_tracker.observeRefused(host, now);
+        m_leases->noteStopped(host, attemptedAt, now);
+    }
+
+    // Messages from other hosts.
+
+    void receive(const HostName &, const Hello &) { }
+    void receive(const HostName &, const HelloProof &) { }
+
+    void receive(const HostName &host, const GroupMessage &message)
+    {
+        m_quorums->receive(host, message);
+    }
+
+    void receive(const HostName &host, const ProposeCall &call) { m_proposer->receive(host, call); }
+
+    void receive(const HostName &, const ProposeAnswer &answer) { m_proposer->receive(answer); }
+
+    void receive(const HostName &host, const ConfigurationRequest &request)
+    {
+        auto &child = m_children[host];
+        child = { request.version, monotonicNow() };
+        pushTo(host, child);
+    }
+
+    void receive(const HostName &, const ConfigurationUpdate &update)
+    {
+        if (m_feed.accept(update))
+            registerKnown();
+        else if (update.to > m_feed.newest()->version())
+            m_requestPacer.hurry();
+    }
+
+    void receive(const HostName &host, const HostReports &reports)
+    {
+        const Instant now = monotonicNow();
+        if (const auto it = m_children.find(host); it != m_children.end())
+            it->second.heardAt = now;
+        for (const auto &report : reports.reports)
+            m_tracker.observe(report, now);
+    }
+
+    void receive(const HostName &, const MembershipView &view)
+    {
+        if (std::pair(view.term, view.sequence) <= std::pair(m_view.term, m_view.sequence))
+            return;
+        adoptView(view);
+    }
+
+    void receive(const HostName &host, const LeaseCall &call)
+    {
+        m_leases->receive(host, call, m_upstream, m_feed.newest()->version());
+    }
+
+    void receive(const HostName &, const LeaseAnswer &answer) { m_leases->receive(answer); }
+
+    // The register.
+
+    void registerKnown()
+    {
+        joinQuorums(*m_feed.newest());
+        publish();
+        for (auto &[host, child] : m_children)
+            pushTo(host, child);
+        m_reportPacer.hurry();
+    }
+
+    void publish()
+    {
+        auto content = m_feed.inForce();
+        if (!content || (m_published && m_published->version() == content->version()))
+            return;
+        m_published = std::move(content);
+        LOG(INFO) << "control: version " << m_published->version() << " is in force";
+        m_handlers.onRegister(m_published);
+    }
+
+    void pushTo(const HostName &host, Child &child)
+    {
+        auto update = m_feed.updateFor(child.version);
+        if (!update)
+            return;
+        child.version = update->to;
+        m_network->send(host, std::move(*update));
+    }
+
+    // Leases.
+
+    void askLease(Instant now)
+    {
+        m_holder->adoptRegister(m_published ? m_published->version() : 0, {});
+        const auto request = m_holder->request(m_handlers.demands(), now);
+        if (m_handlers.applyBudgets(*m_holder, now))
+            m_leases->receive(m_self, { request, 0 }, m_upstream, m_feed.newest()->version());
+    }
+
+    void granted(const LeaseAnswer &answer)
+    {
+        const Instant now = monotonicNow();
+        if (!m_holder->accept(answer.grant, now))
+            return;
+        m_feed.confirm(answer.version);
+        publish();
+        m_handlers.applyBudgets(*m_holder, now);
+    }
+
+    // Periodic work.
+
+    void schedule()
+    {
+        m_timer.expires_after(TickInterval);
+        m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+            const auto self = weak.lock();
+            if (ec || !self)
+                return;
+            self->tick(monotonicNow());
+            self->schedule();
+        });
+    }
+
+    void tick(Instant now)
+    {
+        m_proposer->tick(now);
+        std::erase_if(m_children,
+                      [now](const auto &it) { return now - it.second.heardAt > ChildLifetime; });
+        if (m_quorums->leads(std::string(ControlGroup)))
+            lead(now);
+        else
+            follow(now);
+        connectQuorumMembers();
+        if (m_leasePacer.due(now))
+            askLease(now);
+    }
+
+    void lead(Instant now)
+    {
+        const RaftStatus status = m_quorums->find(std::string(ControlGroup))->status();
+        m_upstream = {};
+        if (status.term != m_ledTerm) {
+            m_ledTerm = status.term;
+            m_viewSequence = 0;
+            m_tracker.clear(now);
+        }
+        m_tracker.observe(ownReport(), now);
+        if (m_feed.newest()->version() == 0)
+            proposeBootstrap(now);
+        probeSilentHosts(now);
+        const auto exceptions = m_tracker.exceptions(known(), now);
+        if (m_viewPacer.due(now) || exceptions != m_view.exceptions)
+            adoptView(
+                { m_ledTerm, ++m_viewSequence, m_feed.newest()->version(), m_self, exceptions });
+    }
+
+    // The control leader connects to hosts that it does not hear, so that a refusal can tell it
+    // that their processes have stopped.
+    void probeSilentHosts(Instant now)
+    {
+        if (!m_memberPacer.due(now))
+            return;
+        for (const auto &exception : m_tracker.exceptions(known(), now)) {
+            if (exception.state == HostState::Unreachable || exception.state == HostState::Stopped)
+                m_network->connect(exception.host);
+        }
+        for (const auto &group : m_quorums->groups())
+            m_quorums->adjustMembers(group, votersOf(group));
+    }
+
+    void adoptView(MembershipView view)
+    {
+        m_view = std::move(view);
+        for (const auto &[host, child] : m_children)
+            m_network->send(host, m_view);
+        m_handlers.onMembership(m_view);
+    }
+
+    void follow(Instant now)
+    {
+        attach();
+        if (m_upstream.empty())
+            return;
+        if (m_requestPacer.due(now))
+            m_network->send(m_upstream, ConfigurationRequest { m_feed.newest()->version() });
+        if (!m_reportPacer.due(now))
+            return;
+        m_tracker.observe(ownReport(), now);
+        m_network->send(m_upstream, HostReports { m_tracker.reportsSince(m_lastReport) });
+        m_lastReport = now;
+    }
+
+    // Attaches to the first candidate that is connected and keeps trying better ones.
+    void attach()
+    {
+        for (const auto &candidate : upstreamCandidates(known(), m_self, leader())) {
+            if (m_network->connected(candidate)) {
+                if (candidate != m_upstream) {
+                    m_upstream = candidate;
+                    m_requestPacer.hurry();
+                    m_reportPacer.hurry();
+                }
+                return;
+            }
+            m_network->connect(candidate);
+        }
+        m_upstream = {};
+    }
+
+    // Members of a quorum tell each other who they are, also when one has lost its disk.
+    void connectQuorumMembers()
+    {
+        for (const auto &group : m_quorums->groups()) {
+            for (const auto &host : votersOf(group))
+                m_network->connect(host);
+        }
+    }
+
+    HostReport ownReport()
+    {
+        return { m_self, m_setup.process, ++m_reportSequence,
+                 m_published ? m_published->version() : 0, m_leaving };
+    }
+
+    HostName leader()
+    {
+        const HostName known = m_quorums->leaderOf(std::string(ControlGroup));
+        return known.empty() ? m_view.leader : known;
+    }
+
+    void proposeBootstrap(Instant now)
+    {
+        if (std::exchange(m_bootstrapProposed, true))
+            return;
+        const auto target = Register::create(1, m_setup.bootstrap->content()).value();
+        const ChangeCommand command { ChangeId(BootstrapChange), m_self.text(), 0, 0,
+                                      encodeDelta(diffRegisters(Register(), target)) };
+        propose(std::string(ControlGroup), encodeChangeCommand(command), now + BootstrapDeadline,
+                [this](const ProposalOutcome &) { m_bootstrapProposed = false; });
+    }
+
+    boost::asio::steady_timer m_timer;
+    ControlSetup m_setup;
+    ControlHandlers m_handlers;
+    HostName m_self;
+    std::unique_ptr<Disk> m_disk;
+    std::unique_ptr<PeerNetwork> m_network;
+    std::unique_ptr<QuorumSet> m_quorums;
+    std::unique_ptr<Proposer> m_proposer;
+    std::unique_ptr<LeaseDesk> m_leases;
+    std::optional<BudgetHolder> m_holder;
+    ConfigurationFeed m_feed;
+    std::shared_ptr<const Register> m_published;
+    HostTracker m_tracker;
+    std::map<HostName, Child> m_children;
+    MembershipView m_view;
+    HostName m_upstream;
+    Pacer m_reportPacer { ReportInterval };
+    Pacer m_requestPacer { ReportInterval };
+    Pacer m_viewPacer { ViewInterval };
+    Pacer m_memberPacer { MemberInterval };
+    Pacer m_leasePacer { LeaseInterval };
+    Instant m_lastReport = Instant::min();
+    Term m_ledTerm = 0;
+    std::uint64_t m_viewSequence = 0;
+    std::uint64_t m_reportSequence = 0;
+    bool m_bootstrapProposed = false;
+    bool m_leaving = false;
+};
+
+ControlPlane::ControlPlane(std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+ControlPlane::~ControlPlane() = default;
+
+Result<std::unique_ptr<ControlPlane>>
+ControlPlane::start(boost::asio::io_context &context, ControlSetup setup, ControlHandlers handlers)
+{
+    try {
+        auto implementation
+            = std::make_shared<Implementation>(context, std::move(setup), std::move(handlers));
+        implementation->open();
+        return std::unique_ptr<ControlPlane>(new ControlPlane(std::move(implementation)));
+    } catch (const Error &error) {
+        return error;
+    }
+}
+
+void ControlPlane::propose(const std::string &group, Bytes command, Instant deadline,
+                           Proposer::OutcomeHandler onDone)
+{
+    boost::asio::post(m_implementation->m_context,
+                      [implementation = m_implementation, group, command = std::move(command),
+                       deadline, onDone = std::move(onDone)]() mutable {
+                          implementation->propose(group, std::move(command), deadline,
+                                                  std::move(onDone));
+                      });
+}
+
+void ControlPlane::announceLeaving()
+{
+    boost::asio::post(m_implementation->m_context,
+                      [implementation = m_implementation] { implementation->announceLeaving(); });
+}
+
+void ControlPlane::inspect(std::function<void(const ControlReport &)> onReport)
+{
+    boost::asio::post(m_implementation->m_context,
+                      [implementation = m_implementation, onReport = std::move(onReport)] {
+                          onReport(implementation->report());
+                      });
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/control/lease_desk.cpp
@@ -0,0 +1,65 @@
+#include <ggv/coordination/control/lease_desk.hpp>
+
+namespace ggv {
+
+LeaseDesk::LeaseDesk(HostName self, QuorumSet &quorums, SendHandler onSend, GrantHandler onGrant)
+    : m_self(std::move(self))
+    , m_quorums(quorums)
+    , m_onSend(std::move(onSend))
+    , m_onGrant(std::move(onGrant))
+    , m_ledger(BudgetLedger::create(BudgetTiming {}).value())
+{ }
+
+void LeaseDesk::setLimits(const BudgetLimits &limits) { m_ledger.setLimits(limits); }
+
+void LeaseDesk::noteStopped(const HostName &host, Instant probeSentAt, Instant answeredAt)
+{
+    m_ledger.noteStopped({ host, probeSentAt, answeredAt });
+}
+
+void LeaseDesk::receive(const HostName &from, const LeaseCall &call, const HostName &upstream,
+                        RegisterVersion newest)
+{
+    if (m_quorums.leads(std::string(ControlGroup))) {
+        answer(from, call, newest);
+        return;
+    }
+    if (upstream.empty() || upstream == from || call.hops >= MaxHops)
+        return;
+    m_routes[call.request.holder] = from;
+    LeaseCall passed = call;
+    ++passed.hops;
+    m_onSend(upstream, passed);
+}
+
+void LeaseDesk::answer(const HostName &from, const LeaseCall &call, RegisterVersion newest)
+{
+    const auto *quorum = m_quorums.find(std::string(ControlGroup));
+    // Read before the lease is checked: a process that was frozen in between must not grant.
+    const Instant receivedAt = monotonicNow();
+    const GrantorAuthority authority { quorum->hasLeaderLease(), quorum->status().term };
+    if (auto grant = m_ledger.answer(call.request, receivedAt, authority))
+        deliver(from, { call.request.holder, std::move(*grant), newest });
+}
+
+void LeaseDesk::receive(const LeaseAnswer &answer)
+{
+    if (answer.holder == m_self) {
+        m_onGrant(answer);
+        return;
+    }
+    if (const auto it = m_routes.find(answer.holder); it != m_routes.end())
+        deliver(it->second, answer);
+}
+
+void LeaseDesk::deliver(const HostName &to, const LeaseAnswer &answer)
+{
+    if (to == m_self)
+        m_onGrant(answer);
+    else
+        m_onSend(to, answer);
+}
+
+BudgetUse LeaseDesk::use(const BudgetKey &key, Instant now) const { return m_ledger.use(key, now); }
+
+} // namespace ggv
--- a/packages/coordination/ggv/coordination/peer/peer_network.cpp
+++ b/packages/coordination/ggv/coordination/peer/peer_network.cpp
@@ -92,7 +92,7 @@
     {
         m_dialling.erase(host);
         if (failure == ConnectFailure::Refused && m_handlers.onRefused)
-            m_handlers.onRefused(host);
+            m_handlers.onRefused(host, m_triedAt[host]);
     }
 
     void begin(std::shared_ptr<FrameConnection> connection, bool dialled)
--- a/packages/coordination/ggv/coordination/peer/peer_network.hpp
+++ b/packages/coordination/ggv/coordination/peer/peer_network.hpp
@@ -29,8 +29,8 @@
     std::function<void(const HostName &, PeerMessage)> onMessage;
     std::function<void(const Hello &)> onConnected;
     std::function<void(const HostName &)> onDisconnected;
-    //! The host's own operating system refused: its process has stopped.
-    std::function<void(const HostName &)> onRefused;
+    //! The host's own operating system refused an attempt: its process has stopped.
+    std::function<void(const HostName &, Instant attemptedAt)> onRefused;
 };
 
 /**
--- /dev/null
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
@@ -0,0 +1,154 @@
+#include <ggv/coordination/quorum/quorum_set.hpp>
+
+#include <ggv/coordination/node/host_identity.hpp>
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+namespace ggv {
+
+namespace {
+
+std::string filePrefixOf(const std::string &group)
+{
+    return group == ControlGroup ? "control-" : "claims-" + group + "-";
+}
+
+bool contains(const std::vector<MemberId> &members, MemberId member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+} // namespace
+
+QuorumSet::QuorumSet(boost::asio::io_context &context, Disk *disk, HostName self,
+                     std::uint64_t incarnation, SendHandler onSend)
+    : m_context(context)
+    , m_disk(disk)
+    , m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_selfId(disk == nullptr ? 0 : memberIdOf(m_self, incarnation))
+    , m_onSend(std::move(onSend))
+{
+    if (m_disk != nullptr)
+        learnMember(m_self, m_selfId);
+}
+
+QuorumSet::~QuorumSet() = default;
+
+void QuorumSet::join(const std::string &group, const std::vector<HostName> &voters,
+                     std::unique_ptr<StateMachine> machine)
+{
+    if (m_disk == nullptr || m_members.contains(group))
+        return;
+    QuorumSetup setup { group.empty() ? "control" : group, filePrefixOf(group), m_selfId, {}, {} };
+    setup.options.seed = m_selfId;
+    for (const auto &host : voters) {
+        const MemberId first = memberIdOf(host, FirstIncarnation);
+        m_hosts.emplace(first, host);
+        if (m_incarnation == FirstIncarnation)
+            setup.bootstrapVoters.push_back(first);
+    }
+    auto quorum = Quorum::start(
+        m_context, *m_disk, std::move(setup), *machine,
+        [this, group](RaftMessage message) { transmit(group, std::move(message)); });
+    m_members.emplace(group, Member { std::move(machine), std::move(quorum).value() });
+}
+
+bool QuorumSet::contains(const std::string &group) const { return m_members.contains(group); }
+
+Quorum *QuorumSet::find(const std::string &group)
+{
+    const auto it = m_members.find(group);
+    return it == m_members.end() ? nullptr : it->second.quorum.get();
+}
+
+void QuorumSet::learnMember(const HostName &host, MemberId member)
+{
+    if (member == 0)
+        return;
+    m_hosts[member] = host;
+    m_current[host] = member;
+}
+
+HostName QuorumSet::hostOf(MemberId member) const
+{
+    const auto it = m_hosts.find(member);
+    return it == m_hosts.end() ? HostName() : it->second;
+}
+
+void QuorumSet::transmit(const std::string &group, RaftMessage message)
+{
+    const HostName host = hostOf(message.to);
+    if (!host.empty())
+        m_onSend(host, GroupMessage { group, std::move(message) });
+}
+
+void QuorumSet::receive(const HostName &from, const GroupMessage &message)
+{
+    // A message from an identity that the connected process does not have is refused.
+    const auto known = m_current.find(from);
+    if (known == m_current.end() || known->second != message.message.from)
+        return;
+    if (auto *quorum = find(message.group))
+        quorum->receive(message.message);
+}
+
+HostName QuorumSet::leaderOf(const std::string &group)
+{
+    const auto *quorum = find(group);
+    return quorum == nullptr ? HostName() : hostOf(quorum->status().leader);
+}
+
+bool QuorumSet::leads(const std::string &group)
+{
+    const auto *quorum = find(group);
+    return quorum != nullptr && quorum->status().role == RaftRole::Leader;
+}
+
+void QuorumSet::adjustMembers(const std::string &group, const std::vector<HostName> &voters)
+{
+    auto *quorum = find(group);
+    if (quorum == nullptr || !quorum->hasLeaderLease())
+        return;
+    const RaftStatus status = quorum->status();
+    std::vector<MemberId> wanted;
+    for (const auto &host : voters) {
+        const auto it = m_current.find(host);
+        // A host that is not connected keeps its place until it says who it is.
+        if (it == m_current.end())
+            return;
+        wanted.push_back(it->second);
+        if (ggv::contains(status.voters, it->second) || ggv::contains(status.learners, it->second))
+            continue;
+        LOG(INFO) << "quorum " << (group.empty() ? "control" : group) << ": takes in host "
+                  << host.text();
+        quorum->addMember(it->second);
+        return;
+    }
+    for (const MemberId member : status.voters) {
+        const bool replaced = !ggv::contains(wanted, member);
+        const bool complete = std::all_of(wanted.begin(), wanted.end(), [&status](MemberId it) {
+            return ggv::contains(status.voters, it);
+        });
+        if (!replaced || !complete)
+            continue;
+        LOG(INFO) << "quorum " << (group.empty() ? "control" : group) << ": removes member "
+                  << member << " of host " << hostOf(member).text();
+        quorum->removeMember(member);
+        return;
+    }
+}
+
+MemberId QuorumSet::self() const noexcept { return m_selfId; }
+
+std::vector<std::string> QuorumSet::groups() const
+{
+    std::vector<std::string> groups;
+    for (const auto &[group, member] : m_members)
+        groups.push_back(group);
+    return groups;
+}
+
+} // namespace ggv
