--- /dev/null
+++ b/packages/state/ggv/state/request/fwd.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace ggv {
+
+enum class RequestKind : std::uint8_t;
+enum class RequestPhase : std::uint8_t;
+enum class RequestEventKind : std::uint8_t;
+enum class RetryPermit : std::uint8_t;
+struct RequestEvent;
+struct RequestMoment;
+struct RequestActions;
+struct FinalAnswer;
+struct RequestResult;
+class RequestOutcome;
+
+} // namespace ggv
