--- /dev/null
+++ b/packages/coordination/ggv/coordination/claims/claim_client.cpp
@@ -0,0 +1,311 @@
+#include <ggv/coordination/claims/claim_client.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace ggv {
+
+namespace {
+
+// A command that waits for its answer.
+struct PendingCall
+{
+    ClaimCommand command;
+    Instant end; // Given up then.
+    Instant nextSend;
+
+    [[nodiscard]] Instant due() const noexcept { return std::min(end, nextSend); }
+};
+
+const ClaimRequest *claimOf(const PendingCall &call) noexcept
+{
+    return std::get_if<ClaimRequest>(&call.command);
+}
+
+} // namespace
+
+class ClaimClient::Implementation
+{
+public:
+    Implementation(std::uint64_t process, std::vector<MemberId> members,
+                   const ClaimClientOptions &options)
+        : m_options(options)
+        , m_process(process)
+        , m_members(std::move(members))
+    { }
+
+    void setMembers(std::vector<MemberId> members);
+    [[nodiscard]] std::optional<ClaimId> claim(ClaimRequest request, Instant deadline, Instant now);
+    void abandon(const ClaimId &claim, Instant now);
+    void settle(ClaimCommand command, Instant now);
+    void receive(const ClaimCallAnswer &answer, Instant now);
+    void tick(Instant now);
+
+    [[nodiscard]] std::uint64_t seenPosition() const noexcept { return m_seenPosition; }
+    [[nodiscard]] Instant nextDeadline() const noexcept;
+    [[nodiscard]] ClaimClientOutput takeOutput() { return std::exchange(m_output, {}); }
+    [[nodiscard]] std::uint64_t pendingCalls() const noexcept { return m_calls.size(); }
+
+private:
+    // By the sequence number of the call; for a claim that of its ClaimId too.
+    using Calls = std::map<std::uint64_t, PendingCall>;
+
+    Calls::iterator begin(std::uint64_t sequence, ClaimCommand command, Instant end, Instant now);
+    void send(Calls::iterator call, Instant now);
+    void resend(const std::vector<Calls::iterator> &calls, Instant now);
+    void probeIfSilent(Instant now);
+    [[nodiscard]] std::vector<Calls::iterator> takeDue(Instant now);
+    void schedule(Calls::iterator call, Instant nextSend);
+    void expire(Calls::iterator call, Instant now);
+    void giveUp(Calls::iterator call, Instant now);
+    void handleReply(Calls::iterator call, const ClaimReply &reply);
+    void follow(MemberId leader, Instant now);
+    void erase(Calls::iterator call);
+
+    ClaimClientOptions m_options;
+    std::uint64_t m_process;
+    std::vector<MemberId> m_members;
+    std::size_t m_member = 0; // The one believed to lead.
+    std::uint64_t m_nextSequence = 1;
+    std::uint64_t m_seenPosition = 0;
+    std::uint64_t m_claimCount = 0;
+    Instant m_nextProbe;
+    Instant m_nextRotation;
+    Calls m_calls;
+    std::set<std::pair<Instant, std::uint64_t>> m_due; // When each call needs attention.
+    ClaimClientOutput m_output;
+};
+
+void ClaimClient::Implementation::setMembers(std::vector<MemberId> members)
+{
+    const auto leader = m_members[m_member];
+    m_members = std::move(members);
+    const auto it = std::find(m_members.begin(), m_members.end(), leader);
+    m_member = it == m_members.end() ? 0 : static_cast<std::size_t>(it - m_members.begin());
+}
+
+std::optional<ClaimId> ClaimClient::Implementation::claim(ClaimRequest request, Instant deadline,
+                                                          Instant now)
+{
+    if (m_claimCount >= m_options.maxClaims)
+        return std::nullopt;
+    const auto sequence = m_nextSequence++;
+    request.claim = { m_process, sequence };
+    ++m_claimCount;
+    send(begin(sequence, request, deadline, now), now);
+    return request.claim;
+}
+
+void ClaimClient::Implementation::abandon(const ClaimId &claim, Instant now)
+{
+    const auto it = claim.host == m_process ? m_calls.find(claim.sequence) : m_calls.end();
+    if (it != m_calls.end() && claimOf(it->second) != nullptr)
+        giveUp(it, now);
+}
+
+void ClaimClient::Implementation::settle(ClaimCommand command, Instant now)
+{
+    // One that is dropped leaves its key without a known result, which is safe.
+    if (m_calls.size() - m_claimCount >= m_options.maxSettlements)
+        return;
+    const auto end = now + m_options.settleLifetime;
+    send(begin(m_nextSequence++, std::move(command), end, now), now);
+}
+
+void ClaimClient::Implementation::receive(const ClaimCallAnswer &answer, Instant now)
+{
+    const auto it
+        = answer.id.process == m_process ? m_calls.find(answer.id.sequence) : m_calls.end();
+    if (it == m_calls.end())
+        return;
+    if (it->second.end <= now) {
+        expire(it, now);
+        return;
+    }
+    if (answer.code == ResultCode::Ok) {
+        m_nextProbe = now + m_options.probeInterval;
+        handleReply(it, answer.reply);
+        return;
+    }
+    // The command is the same whoever gets it, so it may be sent again whether or not it was
+    // accepted.
+    follow(answer.leader, now);
+    schedule(it, std::min(it->second.nextSend, now + m_options.notLeaderDelay));
+}
+
+void ClaimClient::Implementation::handleReply(Calls::iterator call, const ClaimReply &reply)
+{
+    const auto *const request = claimOf(call->second);
+    const auto *const outcome = std::get_if<ClaimOutcome>(&reply.content);
+    if ((request != nullptr) != (outcome != nullptr))
+        return;
+    m_seenPosition = std::max(m_seenPosition, reply.position);
+    if (request != nullptr)
+        m_output.notices.push_back({ request->claim, *outcome });
+    erase(call);
+}
+
+void ClaimClient::Implementation::tick(Instant now)
+{
+    std::vector<Calls::iterator> unanswered;
+    for (const auto it : takeDue(now)) {
+        if (it->second.end <= now)
+            expire(it, now);
+        else
+            unanswered.push_back(it);
+    }
+    resend(unanswered, now);
+    probeIfSilent(now);
+}
+
+std::vector<ClaimClient::Implementation::Calls::iterator>
+ClaimClient::Implementation::takeDue(Instant now)
+{
+    std::vector<Calls::iterator> due;
+    while (!m_due.empty() && m_due.begin()->first <= now) {
+        due.push_back(m_calls.find(m_due.begin()->second));
+        m_due.erase(m_due.begin());
+    }
+    return due;
+}
+
+void ClaimClient::Implementation::expire(Calls::iterator call, Instant now)
+{
+    if (const auto *const request = claimOf(call->second))
+        m_output.notices.push_back({ request->claim, std::nullopt });
+    giveUp(call, now);
+}
+
+void ClaimClient::Implementation::giveUp(Calls::iterator call, Instant now)
+{
+    const auto *const request = claimOf(call->second);
+    if (request == nullptr) {
+        erase(call);
+        return;
+    }
+    const ClaimRelease release { request->key, request->claim };
+    erase(call);
+    settle(release, now);
+}
+
+void ClaimClient::Implementation::resend(const std::vector<Calls::iterator> &calls, Instant now)
+{
+    if (calls.empty())
+        return;
+    follow(0, now);
+    for (const auto it : calls)
+        send(it, now);
+}
+
+void ClaimClient::Implementation::probeIfSilent(Instant now)
+{
+    if (now < m_nextProbe)
+        return;
+    m_nextProbe = now + m_options.probeInterval;
+    settle(ClaimProbe {}, now);
+}
+
+ClaimClient::Implementation::Calls::iterator
+ClaimClient::Implementation::begin(std::uint64_t sequence, ClaimCommand command, Instant end,
+                                   Instant now)
+{
+    return m_calls.emplace(sequence, PendingCall { std::move(command), end, now }).first;
+}
+
+void ClaimClient::Implementation::send(Calls::iterator call, Instant now)
+{
+    schedule(call, now + m_options.resendAfter);
+    const ClaimCallId id { m_process, call->first };
+    m_output.sends.push_back({ m_members[m_member], { id, call->second.command } });
+}
+
+void ClaimClient::Implementation::schedule(Calls::iterator call, Instant nextSend)
+{
+    m_due.erase({ call->second.due(), call->first });
+    call->second.nextSend = nextSend;
+    m_due.emplace(call->second.due(), call->first);
+}
+
+// Believes a named leader; without one takes the next member, once for many answers.
+void ClaimClient::Implementation::follow(MemberId leader, Instant now)
+{
+    const auto it = std::find(m_members.begin(), m_members.end(), leader);
+    if (it != m_members.end()) {
+        m_member = static_cast<std::size_t>(it - m_members.begin());
+        return;
+    }
+    if (now < m_nextRotation)
+        return;
+    m_nextRotation = now + m_options.notLeaderDelay;
+    m_member = (m_member + 1) % m_members.size();
+}
+
+void ClaimClient::Implementation::erase(Calls::iterator call)
+{
+    if (claimOf(call->second) != nullptr)
+        --m_claimCount;
+    m_due.erase({ call->second.due(), call->first });
+    m_calls.erase(call);
+}
+
+Instant ClaimClient::Implementation::nextDeadline() const noexcept
+{
+    return m_due.empty() ? m_nextProbe : std::min(m_nextProbe, m_due.begin()->first);
+}
+
+ClaimClient::ClaimClient(std::uint64_t process, std::vector<MemberId> members,
+                         const ClaimClientOptions &options)
+    : m_implementation(std::make_unique<Implementation>(process, std::move(members), options))
+{ }
+
+ClaimClient::~ClaimClient() = default;
+
+void ClaimClient::setMembers(std::vector<MemberId> members)
+{
+    m_implementation->setMembers(std::move(members));
+}
+
+std::uint64_t ClaimClient::seenPosition() const noexcept
+{
+    return m_implementation->seenPosition();
+}
+
+std::optional<ClaimId> ClaimClient::claim(ClaimRequest request, Instant deadline, Instant now)
+{
+    return m_implementation->claim(request, deadline, now);
+}
+
+void ClaimClient::abandon(const ClaimId &claim, Instant now)
+{
+    m_implementation->abandon(claim, now);
+}
+
+void ClaimClient::release(const ClaimRelease &release, Instant now)
+{
+    m_implementation->settle(release, now);
+}
+
+void ClaimClient::complete(ClaimCompletion completion, Instant now)
+{
+    m_implementation->settle(std::move(completion), now);
+}
+
+void ClaimClient::receive(const ClaimCallAnswer &answer, Instant now)
+{
+    m_implementation->receive(answer, now);
+}
+
+void ClaimClient::tick(Instant now) { m_implementation->tick(now); }
+
+Instant ClaimClient::nextDeadline() const noexcept { return m_implementation->nextDeadline(); }
+
+ClaimClientOutput ClaimClient::takeOutput() { return m_implementation->takeOutput(); }
+
+std::uint64_t ClaimClient::pendingCalls() const noexcept
+{
+    return m_implementation->pendingCalls();
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/claims/claim_machine.cpp
@@ -0,0 +1,98 @@
+#include <ggv/coordination/claims/claim_machine.hpp>
+
+#include <ggv/protocol/codec/claim_codec.hpp>
+
+#include <utility>
+
+namespace ggv {
+
+namespace {
+
+using ReplyContent = decltype(ClaimReply::content);
+
+// Applies a command of each kind to the table.
+struct Applier
+{
+    ClaimTable &table;
+    UnixMillis time;
+
+    ReplyContent operator()(const ClaimRequest &request) const
+    {
+        return table.claim(request, time);
+    }
+
+    ReplyContent operator()(const ClaimCompletion &completion) const
+    {
+        return ClaimSettlement { table.complete(completion, time) };
+    }
+
+    ReplyContent operator()(const ClaimRelease &release) const
+    {
+        return ClaimSettlement { table.release(release, time) };
+    }
+
+    ReplyContent operator()(const ClaimProbe &) const
+    {
+        table.touch(time);
+        return ClaimSettlement { true };
+    }
+};
+
+} // namespace
+
+class ClaimMachine::Implementation
+{
+public:
+    explicit Implementation(const ClaimTableLimits &limits)
+        : m_limits(limits)
+        , m_table(limits)
+    { }
+
+    [[nodiscard]] ClaimReply apply(const ClaimLogEntry &entry)
+    {
+        ClaimReply reply;
+        reply.content = std::visit(Applier { m_table, entry.time }, entry.command);
+        reply.position = m_table.position();
+        return reply;
+    }
+
+    void restore(ByteView state) { m_table = ClaimTable::decode(state, m_limits); }
+
+    [[nodiscard]] const ClaimTable &table() const noexcept { return m_table; }
+
+private:
+    ClaimTableLimits m_limits;
+    ClaimTable m_table;
+};
+
+ClaimMachine::ClaimMachine(const ClaimTableLimits &limits)
+    : m_implementation(std::make_unique<Implementation>(limits))
+{ }
+
+ClaimMachine::~ClaimMachine() = default;
+
+Bytes ClaimMachine::proposalOf(ClaimCommand command, UnixMillis leaderTime)
+{
+    return encodeClaimLogEntry({ leaderTime, std::move(command) });
+}
+
+Bytes ClaimMachine::apply(LogIndex /*index*/, ByteView command)
+{
+    try {
+        const auto entry = decodeClaimLogEntry(command);
+        return encodeClaimReply(m_implementation->apply(entry));
+    } catch (const Error &error) {
+        // Every member finds the same bytes in its log and skips them.
+        if (error.code() == ResultCode::ProtocolViolation)
+            return {};
+        throw;
+    }
+}
+
+Bytes ClaimMachine::encode() const { return m_implementation->table().encode(); }
+
+void ClaimMachine::restore(ByteView state) { m_implementation->restore(state); }
+
+const ClaimTable &ClaimMachine::table() const noexcept { return m_implementation->table(); }
+
+} // namespace ggv
