--- /dev/null
+++ b/packages/coordination/ggv/coordination/claims/claim_desk.cpp
@@ -0,0 +1,157 @@
+#include <ggv/coordination/claims/claim_desk.hpp>
+
+#include <ggv/coordination/claims/claim_machine.hpp>
+#include <ggv/protocol/codec/claim_codec.hpp>
+
+#include <glog/logging.h>
+
+namespace ggv {
+
+ClaimDesk::ClaimDesk(ProcessId process, QuorumSet &quorums, SendHandler onSend)
+    : m_process(process)
+    , m_quorums(quorums)
+    , m_onSend(std::move(onSend))
+    , m_positions(std::make_shared<const Positions>())
+    , m_alive(std::make_shared<ClaimDesk *>(this))
+{ }
+
+std::vector<MemberId> ClaimDesk::membersOf(const std::vector<HostName> &voters) const
+{
+    std::vector<MemberId> members;
+    for (const auto &host : voters)
+        members.push_back(m_quorums.memberOf(host));
+    return members;
+}
+
+void ClaimDesk::setGroups(const std::vector<ClaimGroup> &groups)
+{
+    auto positions = std::make_shared<Positions>(*m_positions.load());
+    for (const auto &it : groups) {
+        auto &group = m_groups[it.name.text()];
+        group.voters = it.voters;
+        if (!group.client)
+            group.client = std::make_unique<ClaimClient>(m_process, membersOf(it.voters));
+        auto &position = (*positions)[it.name.text()];
+        if (!position)
+            position = std::make_shared<std::atomic<std::uint64_t>>(0);
+    }
+    m_positions.store(std::move(positions));
+}
+
+std::uint64_t ClaimDesk::seenPosition(const std::string &group) const
+{
+    const auto positions = m_positions.load();
+    const auto it = positions->find(group);
+    return it == positions->end() ? 0 : it->second->load(std::memory_order_relaxed);
+}
+
+void ClaimDesk::claim(const std::string &group, const ClaimRequest &request, Instant deadline,
+                      OutcomeHandler onOutcome)
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end()) {
+        onOutcome({}, std::nullopt);
+        return;
+    }
+    const auto id = it->second.client->claim(request, deadline, monotonicNow());
+    if (!id) {
+        onOutcome({}, std::nullopt);
+        return;
+    }
+    it->second.waiting.emplace(*id, std::move(onOutcome));
+    perform(group, it->second);
+}
+
+void ClaimDesk::release(const std::string &group, const ClaimRelease &release)
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end())
+        return;
+    it->second.client->release(release, monotonicNow());
+    perform(group, it->second);
+}
+
+void ClaimDesk::complete(const std::string &group, ClaimCompletion completion)
+{
+    const auto it = m_groups.find(group);
+    if (it == m_groups.end())
+        return;
+    it->second.client->complete(std::move(completion), monotonicNow());
+    perform(group, it->second);
+}
+
+void ClaimDesk::perform(const std::string &name, Group &group)
+{
+    ClaimClientOutput output = group.client->takeOutput();
+    const auto positions = m_positions.load();
+    positions->at(name)->store(group.client->seenPosition(), std::memory_order_relaxed);
+    for (const auto &it : output.sends)
+        send(name, it);
+    for (auto &notice : output.notices) {
+        auto waiting = group.waiting.extract(notice.claim);
+        if (!waiting.empty())
+            waiting.mapped()(notice.claim, std::move(notice.outcome));
+    }
+}
+
+void ClaimDesk::send(const std::string &group, const ClaimSend &send)
+{
+    if (send.to != m_quorums.self()) {
+        const HostName host = m_quorums.hostOf(send.to);
+        if (!host.empty())
+            m_onSend(host, ClaimGroupCall { group, encodeClaimCall(send.call) });
+        return;
+    }
+    propose(group, send.call, [alive = m_alive, group](ClaimCallAnswer answer) {
+        if (*alive != nullptr)
+            (*alive)->receive(ClaimGroupAnswer { group, encodeClaimCallAnswer(answer) });
+    });
+}
+
+void ClaimDesk::propose(const std::string &group, const ClaimCall &call,
+                        std::function<void(ClaimCallAnswer)> onAnswer)
+{
+    auto *quorum = m_quorums.find(group);
+    if (quorum == nullptr || !m_quorums.leads(group)) {
+        const MemberId leader = quorum == nullptr ? 0 : quorum->status().leader;
+        onAnswer({ call.id, ResultCode::NotLeader, leader, {} });
+        return;
+    }
+    auto command = ClaimMachine::proposalOf(call.command, wallClockNow());
+    quorum->propose(std::move(command),
+                    [id = call.id, onAnswer = std::move(onAnswer)](const Completion &completion) {
+                        ClaimCallAnswer answer { id, completion.code, 0, {} };
+                        if (completion.code == ResultCode::Ok)
+                            answer.reply = decodeClaimReply(completion.answer);
+                        onAnswer(std::move(answer));
+                    });
+}
+
+void ClaimDesk::receive(const HostName &from, const ClaimGroupCall &call)
+{
+    propose(call.group, decodeClaimCall(call.call),
+            [onSend = m_onSend, from, group = call.group](const ClaimCallAnswer &answer) {
+                onSend(from, ClaimGroupAnswer { group, encodeClaimCallAnswer(answer) });
+            });
+}
+
+void ClaimDesk::receive(const ClaimGroupAnswer &answer)
+{
+    const auto it = m_groups.find(answer.group);
+    if (it == m_groups.end())
+        return;
+    it->second.client->receive(decodeClaimCallAnswer(answer.answer), monotonicNow());
+    perform(answer.group, it->second);
+}
+
+void ClaimDesk::tick(Instant now)
+{
+    for (auto &[name, group] : m_groups) {
+        group.client->setMembers(membersOf(group.voters));
+        if (group.client->nextDeadline() <= now)
+            group.client->tick(now);
+        perform(name, group);
+    }
+}
+
+} // namespace ggv
--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -158,9 +158,8 @@
         };
         handlers.onConnected = [this](const Hello &hello) { connected(hello); };
         handlers.onDisconnected = [this](const HostName &host) { disconnected(host); };
-        handlers.onRefused = [this](const HostName &host, Instant attemptedAt) {
-            refused(host, attemptedAt);
-        };
+        handlers.onRefused
+            = [this](const HostName &host, Instant attemptedAt) { refused(host, attemptedAt); };
         return handlers;
     }
 
--- a/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
@@ -78,6 +78,12 @@
     return it == m_hosts.end() ? HostName() : it->second;
 }
 
+MemberId QuorumSet::memberOf(const HostName &host) const
+{
+    const auto it = m_current.find(host);
+    return it == m_current.end() ? memberIdOf(host, FirstIncarnation) : it->second;
+}
+
 void QuorumSet::transmit(const std::string &group, RaftMessage message)
 {
     const HostName host = hostOf(message.to);
--- a/packages/coordination/ggv/coordination/quorum/quorum_set.hpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.hpp
@@ -63,6 +63,10 @@
     [[nodiscard]] bool leads(const std::string &group);
     //! If this host leads the quorum, does the next step towards the listed hosts.
     void adjustMembers(const std::string &group, const std::vector<HostName> &voters);
+    //! @return Identity that a host has in quorums, as far as known.
+    [[nodiscard]] MemberId memberOf(const HostName &host) const;
+    //! @return Host of a member; empty if unknown.
+    [[nodiscard]] HostName hostOf(MemberId member) const;
     //! @return Identity of this host in quorums.
     [[nodiscard]] MemberId self() const noexcept;
     //! @return Names of the quorums.
@@ -76,7 +80,6 @@
     };
 
     void transmit(const std::string &group, RaftMessage message);
-    [[nodiscard]] HostName hostOf(MemberId member) const;
 
     boost::asio::io_context &m_context;
     Disk *m_disk;
--- a/packages/protocol/ggv/protocol/codec/peer_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/peer_codec.cpp
@@ -138,6 +138,18 @@
         = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant, &LeaseAnswer::version);
 };
 
+template <>
+struct Fields<ClaimGroupCall>
+{
+    static constexpr auto list = std::tuple(&ClaimGroupCall::group, &ClaimGroupCall::call);
+};
+
+template <>
+struct Fields<ClaimGroupAnswer>
+{
+    static constexpr auto list = std::tuple(&ClaimGroupAnswer::group, &ClaimGroupAnswer::answer);
+};
+
 } // namespace detail
 
 Bytes encodePeerMessage(const PeerMessage &message) { return detail::encodeValue(message); }
--- a/packages/protocol/ggv/protocol/message/fwd.hpp
+++ b/packages/protocol/ggv/protocol/message/fwd.hpp
@@ -21,5 +21,9 @@
 struct MembershipView;
 struct LeaseCall;
 struct LeaseAnswer;
+struct ClaimGroupCall;
+struct ClaimGroupAnswer;
+struct ChangeCommand;
+struct ChangeAnswer;
 
 } // namespace ggv
--- a/packages/protocol/ggv/protocol/message/peer_message.hpp
+++ b/packages/protocol/ggv/protocol/message/peer_message.hpp
@@ -155,9 +155,28 @@
     [[nodiscard]] auto operator<=>(const LeaseAnswer &) const = default;
 };
 
+//! Command for a claim group on its way to a member of the group.
+struct ClaimGroupCall
+{
+    std::string group;
+    Bytes call; //!< Encoded ClaimCall.
+
+    [[nodiscard]] auto operator<=>(const ClaimGroupCall &) const = default;
+};
+
+//! Answer to ClaimGroupCall.
+struct ClaimGroupAnswer
+{
+    std::string group;
+    Bytes answer; //!< Encoded ClaimCallAnswer.
+
+    [[nodiscard]] auto operator<=>(const ClaimGroupAnswer &) const = default;
+};
+
 //! Every message between hosts of the system; the order is part of the wire format.
-using PeerMessage = std::variant<Hello, HelloProof, GroupMessage, ProposeCall, ProposeAnswer,
-                                 ConfigurationRequest, ConfigurationUpdate, HostReports,
-                                 MembershipView, LeaseCall, LeaseAnswer>;
+using PeerMessage
+    = std::variant<Hello, HelloProof, GroupMessage, ProposeCall, ProposeAnswer,
+                   ConfigurationRequest, ConfigurationUpdate, HostReports, MembershipView,
+                   LeaseCall, LeaseAnswer, ClaimGroupCall, ClaimGroupAnswer>;
 
 } // namespace ggv
