Validate, index, read, write and compare registers

Cause: the agreed interfaces of the register model had no implementation. A service and a target now have defaults for deadline, body size, exchange size, slots and connections in place of zeros, which no rule would accept. Ruled out: a positions map beside the content, as the parsed tree already holds every position; one schema for reading and another for writing.

--- a/packages/state/ggv/state/model/entities.hpp
+++ b/packages/state/ggv/state/model/entities.hpp
@@ -61,6 +61,17 @@
     [[nodiscard]] auto operator<=>(const NonIdempotentRoute &) const = default;
 };
 
+//! Applies to requests that state no deadline, unless the service sets its own.
+inline constexpr Duration DefaultServiceDeadline = std::chrono::seconds(10);
+//! Largest request body of a service that sets no limit.
+inline constexpr std::uint64_t DefaultMaxBodyBytes = std::uint64_t { 1024 } * 1024;
+//! Request and answer together for a service that states no size.
+inline constexpr std::uint64_t DefaultTypicalExchangeBytes = std::uint64_t { 16 } * 1024;
+//! Requests that a target executes at the same time if the register does not say.
+inline constexpr std::uint32_t DefaultTargetSlots = 1;
+//! Connections that a target accepts if the register does not say.
+inline constexpr std::uint32_t DefaultTargetConnections = 64;
+
 //! A service that targets provide.
 struct Service
 {
@@ -68,9 +79,10 @@
     std::vector<NonIdempotentRoute> nonIdempotent;
     std::optional<ClaimGroupName>
         claimGroup; //!< Home of the service's claims; never changes once set.
-    Duration defaultDeadline { 0 }; //!< For requests that state none.
-    std::uint64_t maxBodyBytes = 0; //!< Larger request bodies are refused.
-    std::uint64_t typicalExchangeBytes = 0; //!< Request and answer together; sizes link budgets.
+    Duration defaultDeadline = DefaultServiceDeadline; //!< For requests that state none.
+    std::uint64_t maxBodyBytes = DefaultMaxBodyBytes; //!< Larger request bodies are refused.
+    std::uint64_t typicalExchangeBytes
+        = DefaultTypicalExchangeBytes; //!< Request and answer together; sizes link budgets.
     std::string probePath; //!< Answers the target's state and load; empty: no probe.
 
     [[nodiscard]] auto operator<=>(const Service &) const = default;
@@ -83,8 +95,8 @@
     ServiceName service;
     FailureDomainName domain;
     Endpoint endpoint;
-    std::uint32_t slots = 0; //!< Requests that it executes at the same time.
-    std::uint32_t connections = 0; //!< Connections that it accepts.
+    std::uint32_t slots = DefaultTargetSlots; //!< Requests that it executes at the same time.
+    std::uint32_t connections = DefaultTargetConnections; //!< Connections that it accepts.
     bool leaving = false; //!< Gets no new work.
 
     [[nodiscard]] auto operator<=>(const Target &) const = default;
--- /dev/null
+++ b/packages/state/ggv/state/model/entity_key.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <ggv/state/model/entities.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace ggv::detail {
+
+//! Separates the names in a key; sorts before every character that a name may contain.
+inline constexpr char KeySeparator = ',';
+
+// The key of an entity without a copy where the entity itself holds it.
+
+[[nodiscard]] inline const std::string &keyText(const HostName &host) noexcept
+{
+    return host.text();
+}
+
+[[nodiscard]] inline const std::string &keyText(const ClientBlock &block) noexcept
+{
+    return block.prefix;
+}
+
+[[nodiscard]] std::string keyText(const Link &link);
+[[nodiscard]] std::string keyText(const ShiftCap &cap);
+[[nodiscard]] std::string keyText(const Drain &drain);
+
+template <typename Entity>
+[[nodiscard]] const std::string &keyText(const Entity &entity) noexcept
+{
+    return entity.name.text();
+}
+
+//! @return Key in a register file that names the subject of a drain of this scope.
+[[nodiscard]] std::string_view drainScopeName(DrainScope scope) noexcept;
+
+//! Orders entities of one kind by key.
+struct KeyLess
+{
+    template <typename Entity>
+    [[nodiscard]] bool operator()(const Entity &one, const Entity &other) const
+    {
+        return keyText(one) < keyText(other);
+    }
+
+    template <typename Entity>
+    [[nodiscard]] bool operator()(const Entity &one, std::string_view key) const
+    {
+        return keyText(one) < key;
+    }
+};
+
+} // namespace ggv::detail
