--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -95,7 +95,7 @@
     void replicate(bool heartbeat);
     void replicateTo(MemberId member, detail::ReplicationProgress &progress, bool heartbeat);
     void sendEntries(MemberId member, detail::ReplicationProgress &progress);
-    void sendHeartbeat(MemberId member, const detail::ReplicationProgress &progress);
+    void sendHeartbeat(MemberId member, detail::ReplicationProgress &progress);
     void sendSnapshot(MemberId member, detail::ReplicationProgress &progress);
     void sendAppend(MemberId member, LogIndex previous, std::vector<LogEntry> entries);
 
--- a/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
@@ -176,12 +176,13 @@
 }
 
 // A lost snapshot is sent again; a lost request shows by the refusal of this one.
-void Raft::Implementation::sendHeartbeat(MemberId member,
-                                         const detail::ReplicationProgress &progress)
+void Raft::Implementation::sendHeartbeat(MemberId member, detail::ReplicationProgress &progress)
 {
     const bool isSnapshot = progress.mode() == detail::ReplicationMode::Snapshot;
-    if (isSnapshot && m_now >= progress.snapshotSentAt() + m_options.electionTimeoutMax)
-        sendSnapshot(member, m_progress.at(member));
+    const bool isLate = m_now >= progress.snapshotSentAt() + m_options.electionTimeoutMax;
+    const bool isMissing = !m_log.termAt(progress.next() - 1);
+    if (isSnapshot ? isLate : isMissing)
+        sendSnapshot(member, progress);
     else
         sendAppend(member, isSnapshot ? 0 : progress.next() - 1, {});
 }
--- /dev/null
+++ b/packages/coordination/test/consensus/cluster.hpp
@@ -0,0 +1,547 @@
+#pragma once
+
+#include <ggv/coordination/consensus/raft.hpp>
+#include <ggv/protocol/codec/raft_codec.hpp>
+#include <ggv/state/core/error.hpp>
+#include <ggv/state/storage/log_store.hpp>
+
+#include <storage/fake_disk.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ggv::test {
+
+using Milliseconds = std::chrono::milliseconds;
+
+//! Thrown when a history breaks a promise of the consensus.
+class Violation : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+inline void require(bool condition, const std::string &promise)
+{
+    if (!condition)
+        throw Violation(promise);
+}
+
+inline Bytes encodeNumber(std::uint64_t number)
+{
+    Bytes bytes(sizeof(number));
+    for (auto &byte : bytes) {
+        byte = static_cast<std::uint8_t>(number);
+        number >>= 8U;
+    }
+    return bytes;
+}
+
+inline std::uint64_t decodeNumber(ByteView bytes)
+{
+    std::uint64_t number = 0;
+    for (std::size_t i = bytes.size(); i > 0; --i)
+        number = (number << 8U) | bytes[i - 1];
+    return number;
+}
+
+//! The one order of commands that all members together have shown; it only grows.
+struct SharedHistory
+{
+    std::vector<std::uint64_t> commands;
+
+    void check(std::size_t position, std::uint64_t command)
+    {
+        if (position == commands.size())
+            commands.push_back(command);
+        require(position < commands.size() && commands[position] == command,
+                "state machine safety: members apply different commands");
+    }
+};
+
+//! Keeps the commands in order; answers a command with the number of commands so far.
+class ListMachine : public StateMachine
+{
+public:
+    explicit ListMachine(SharedHistory &history)
+        : m_history(history)
+    { }
+
+    Bytes apply(LogIndex, ByteView command) override
+    {
+        const auto number = decodeNumber(command);
+        m_history.check(m_commands.size(), number);
+        m_commands.push_back(number);
+        return encodeNumber(m_commands.size());
+    }
+
+    [[nodiscard]] Bytes encode() const override
+    {
+        Bytes bytes;
+        for (const auto command : m_commands) {
+            const Bytes one = encodeNumber(command);
+            bytes.insert(bytes.end(), one.begin(), one.end());
+        }
+        return bytes;
+    }
+
+    void restore(ByteView state) override
+    {
+        m_commands.clear();
+        for (; !state.empty(); state = state.subspan(sizeof(std::uint64_t))) {
+            const auto number = decodeNumber(state.first(sizeof(std::uint64_t)));
+            m_history.check(m_commands.size(), number);
+            m_commands.push_back(number);
+        }
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_commands.size(); }
+
+private:
+    SharedHistory &m_history;
+    std::vector<std::uint64_t> m_commands;
+};
+
+//! Faults of the network; everything else goes through after a delay.
+struct NetworkFaults
+{
+    unsigned lossPercent = 0;
+    unsigned duplicatePercent = 0;
+    Milliseconds minDelay { 1 };
+    Milliseconds maxDelay { 5 };
+};
+
+//! A member with its host: disk, clock and process.
+struct Member
+{
+    MemberId id = 0;
+    FakeDisk disk;
+    std::unique_ptr<ListMachine> machine;
+    std::unique_ptr<LogStore> store;
+    std::unique_ptr<Raft> raft; //!< Null while the process is down.
+    std::vector<MemberId> bootstrap;
+    unsigned group = 0; //!< Members of different groups cannot reach each other.
+    Instant frozenUntil;
+    std::int64_t clockPercent = 100; //!< Speed of the local clock.
+    Instant clockBase; //!< Local and real time at the last change of speed.
+    Instant realBase;
+
+    [[nodiscard]] bool isUp() const noexcept { return raft != nullptr; }
+
+    [[nodiscard]] Instant localTime(Instant real) const
+    {
+        return clockBase + (real - realBase) * clockPercent / 100;
+    }
+
+    void setClockSpeed(std::int64_t percent, Instant real)
+    {
+        clockBase = localTime(real);
+        realBase = real;
+        clockPercent = percent;
+    }
+};
+
+/**
+ * @brief Members, a network and a clock that exist only in memory, with checks after every step.
+ *
+ * Checked all the time: at most one leader a term, at most one lease, one order of commands,
+ * linearizable answers. Checked by checkOutcome(): accepted commands are never lost and refused
+ * ones never applied, logs that share an entry share everything before it.
+ */
+class Cluster
+{
+public:
+    static constexpr Milliseconds Step { 10 };
+
+    explicit Cluster(std::size_t size, std::uint64_t seed, RaftOptions options = {})
+        : m_options(options)
+        , m_random(seed)
+    {
+        for (MemberId id = 1; id <= size; ++id)
+            m_firstVoters.push_back(id);
+        for (const MemberId id : m_firstVoters)
+            addHost(id, m_firstVoters);
+    }
+
+    NetworkFaults faults;
+
+    [[nodiscard]] std::mt19937_64 &random() noexcept { return m_random; }
+    [[nodiscard]] Member &member(MemberId id) { return *m_members.at(id); }
+    [[nodiscard]] std::map<MemberId, std::unique_ptr<Member>> &members() { return m_members; }
+    [[nodiscard]] Instant now() const noexcept { return m_now; }
+    [[nodiscard]] const SharedHistory &history() const noexcept { return m_history; }
+
+    //! Starts a host that was not there before; it is no member until the quorum takes it in.
+    Member &addHost(MemberId id, std::vector<MemberId> bootstrap = {})
+    {
+        auto host = std::make_unique<Member>();
+        host->id = id;
+        host->bootstrap = std::move(bootstrap);
+        host->realBase = m_now;
+        host->clockBase = m_now + Milliseconds(m_random() % 100000);
+        Member &added = *m_members.emplace(id, std::move(host)).first->second;
+        start(added);
+        return added;
+    }
+
+    void start(Member &host)
+    {
+        RaftOptions options = m_options;
+        options.seed = m_random();
+        host.machine = std::make_unique<ListMachine>(m_history);
+        host.store = LogStore::open(host.disk, "q-", host.id).value();
+        host.raft = Raft::create(host.id, host.bootstrap, options, *host.store, *host.machine,
+                                 host.localTime(m_now))
+                        .value();
+        ++m_starts;
+    }
+
+    //! Ends a process; its pending requests never get an answer.
+    void crash(Member &host)
+    {
+        std::erase_if(m_requests, [&](const auto &it) { return it.second.host == host.id; });
+        host.raft.reset();
+        host.store.reset();
+        host.machine.reset();
+        host.disk.crash(m_random);
+    }
+
+    //! Removes a host with its disk for good.
+    void destroy(MemberId id)
+    {
+        crash(member(id));
+        m_members.erase(id);
+    }
+
+    //! Lets time pass.
+    void run(Milliseconds duration)
+    {
+        for (const Instant end = m_now + duration; m_now < end;)
+            step();
+    }
+
+    //! Lets time pass until a condition holds; false if it does not in the given time.
+    template <typename Condition>
+    [[nodiscard]] bool runUntil(Condition condition, Milliseconds most = Milliseconds(30000))
+    {
+        for (const Instant end = m_now + most; m_now < end;) {
+            if (condition())
+                return true;
+            step();
+        }
+        return condition();
+    }
+
+    //! @return The leader of the highest term among running members, or null.
+    [[nodiscard]] Member *leader()
+    {
+        Member *found = nullptr;
+        Term term = 0;
+        for (auto &[id, host] : m_members) {
+            if (!host->isUp() || host->raft->status().role != RaftRole::Leader)
+                continue;
+            if (host->raft->status().term >= term)
+                found = host.get();
+            term = std::max(term, host->raft->status().term);
+        }
+        return found;
+    }
+
+    [[nodiscard]] Member &waitForLeader()
+    {
+        require(runUntil([&] { return leader() != nullptr && isReady(*leader()); }),
+                "liveness: no leader is elected");
+        return *leader();
+    }
+
+    //! Proposes a new command at a member. @return Number of the command.
+    std::uint64_t propose(Member &host)
+    {
+        const std::uint64_t command = ++m_lastCommand;
+        const Ticket ticket = host.raft->propose(encodeNumber(command), host.localTime(m_now));
+        m_requests[ticket] = { host.id, Kind::Write, command, m_floor };
+        return command;
+    }
+
+    //! Asks a member for a confirmed read.
+    Ticket read(Member &host)
+    {
+        const Ticket ticket = host.raft->confirmRead(host.localTime(m_now));
+        m_requests[ticket] = { host.id, Kind::Read, 0, m_floor };
+        return ticket;
+    }
+
+    Ticket changeMember(Member &host, MemberId id, bool add)
+    {
+        const Instant local = host.localTime(m_now);
+        const Ticket ticket
+            = add ? host.raft->addMember(id, local) : host.raft->removeMember(id, local);
+        m_requests[ticket] = { host.id, Kind::Membership, 0, m_floor };
+        return ticket;
+    }
+
+    //! Proposes until one command is accepted.
+    void acceptOne()
+    {
+        const auto before = m_accepted.size();
+        require(runUntil([&] {
+                    Member *host = leader();
+                    if (host != nullptr && m_requests.empty())
+                        propose(*host);
+                    return m_accepted.size() > before;
+                }),
+                "liveness: no command is accepted");
+    }
+
+    //! @return What became of a request, once it is complete.
+    [[nodiscard]] std::optional<ResultCode> outcome(Ticket ticket) const
+    {
+        const auto it = m_outcomes.find(ticket);
+        return it == m_outcomes.end() ? std::nullopt : std::optional(it->second);
+    }
+
+    [[nodiscard]] std::size_t accepted() const noexcept { return m_accepted.size(); }
+    [[nodiscard]] std::size_t confirmedReads() const noexcept { return m_confirmedReads; }
+    [[nodiscard]] std::size_t pending() const noexcept { return m_requests.size(); }
+
+    //! Splits the network: the given members on one side, all others on the other.
+    void cutOff(const std::set<MemberId> &side)
+    {
+        for (auto &[id, host] : m_members)
+            host->group = side.contains(id) ? 1 : 0;
+    }
+
+    //! Ends all faults and starts all processes.
+    void heal()
+    {
+        faults = {};
+        cutOff({});
+        for (auto &[id, host] : m_members) {
+            host->frozenUntil = m_now;
+            host->disk.limit(~0ULL);
+            if (!host->isUp())
+                start(*host);
+        }
+    }
+
+    //! Heals, and checks that the quorum works again and has kept every promise.
+    void checkOutcome()
+    {
+        heal();
+        acceptOne();
+        require(runUntil([&] { return isSettled(); }), "liveness: members do not catch up");
+        checkAccepted();
+        checkLogMatching();
+    }
+
+    //! @return True if all running members of the leader's membership have applied everything.
+    [[nodiscard]] bool isSettled()
+    {
+        Member *host = leader();
+        if (host == nullptr || !isReady(*host))
+            return false;
+        const RaftStatus status = host->raft->status();
+        std::vector<MemberId> ids = status.voters;
+        ids.insert(ids.end(), status.learners.begin(), status.learners.end());
+        return std::all_of(ids.begin(), ids.end(), [&](MemberId id) {
+            const auto it = m_members.find(id);
+            return it == m_members.end() || !it->second->isUp()
+                || it->second->machine->size() == m_history.commands.size();
+        });
+    }
+
+private:
+    enum class Kind { Write, Read, Membership };
+
+    struct Request
+    {
+        MemberId host = 0;
+        Kind kind = Kind::Write;
+        std::uint64_t command = 0;
+        std::size_t floor = 0; // Commands that the answer must have seen.
+    };
+
+    [[nodiscard]] bool isReady(Member &host) const
+    {
+        return host.raft->hasLeaderLease(host.localTime(m_now));
+    }
+
+    void step()
+    {
+        m_now += Step;
+        for (auto &[id, host] : m_members) {
+            if (host->isUp() && host->frozenUntil <= m_now)
+                runMember(*host);
+        }
+        checkLeaders();
+    }
+
+    // A failing disk ends the process, as it does in the product.
+    void runMember(Member &host)
+    {
+        try {
+            deliver(host);
+            host.raft->tick(host.localTime(m_now));
+            handle(host, host.raft->takeOutput());
+        } catch (const Error &error) {
+            require(error.code() == ResultCode::StorageIo, error.what());
+            crash(host);
+        }
+    }
+
+    void deliver(Member &host)
+    {
+        auto &queue = m_queues[host.id];
+        while (!queue.empty() && queue.begin()->first <= m_now) {
+            const Bytes bytes = std::move(queue.begin()->second);
+            queue.erase(queue.begin());
+            host.raft->receive(decodeRaftMessage(bytes), host.localTime(m_now));
+        }
+    }
+
+    void handle(Member &host, const RaftOutput &output)
+    {
+        for (const RaftMessage &message : output.messages)
+            send(host, message);
+        for (const Completion &completion : output.completions)
+            complete(host, completion);
+    }
+
+    void send(const Member &from, const RaftMessage &message)
+    {
+        const auto to = m_members.find(message.to);
+        if (to == m_members.end() || to->second->group != from.group || chance(faults.lossPercent))
+            return;
+        const int copies = chance(faults.duplicatePercent) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            const auto range
+                = static_cast<std::uint64_t>((faults.maxDelay - faults.minDelay).count());
+            const Milliseconds delay = faults.minDelay + Milliseconds(m_random() % (range + 1));
+            m_queues[message.to].emplace(m_now + delay, encodeRaftMessage(message));
+        }
+    }
+
+    [[nodiscard]] bool chance(unsigned percent)
+    {
+        return percent > 0 && m_random() % 100 < percent;
+    }
+
+    void complete(Member &host, const Completion &completion)
+    {
+        m_outcomes[completion.ticket] = completion.code;
+        const auto it = m_requests.find(completion.ticket);
+        require(it != m_requests.end(), "a request completes twice");
+        const Request request = it->second;
+        m_requests.erase(it);
+        if (request.kind == Kind::Write)
+            completeWrite(request, completion);
+        else if (request.kind == Kind::Read && completion.code == ResultCode::Ok)
+            completeRead(request, host.machine->size());
+    }
+
+    void completeWrite(const Request &request, const Completion &completion)
+    {
+        if (completion.code == ResultCode::NotLeader)
+            m_refused.insert(request.command);
+        if (completion.code != ResultCode::Ok)
+            return;
+        const auto position = decodeNumber(completion.answer);
+        require(position > request.floor, "linearizability: a write takes a place in the past");
+        require(m_history.commands.at(position - 1) == request.command,
+                "answer of another command");
+        m_accepted[request.command] = position;
+        m_floor = std::max<std::size_t>(m_floor, position);
+    }
+
+    void completeRead(const Request &request, std::size_t seen)
+    {
+        require(seen >= request.floor, "linearizability: a read misses an accepted change");
+        m_floor = std::max(m_floor, seen);
+        ++m_confirmedReads;
+    }
+
+    void checkLeaders()
+    {
+        unsigned leases = 0;
+        for (auto &[id, host] : m_members) {
+            if (!host->isUp())
+                continue;
+            const RaftStatus status = host->raft->status();
+            if (status.role == RaftRole::Leader) {
+                const auto it = m_leaders.emplace(status.term, id).first;
+                require(it->second == id, "election safety: two leaders in one term");
+            }
+            leases += host->raft->hasLeaderLease(host->localTime(m_now)) ? 1 : 0;
+        }
+        require(leases <= 1, "lease exclusivity: two members hold the lease");
+    }
+
+    void checkAccepted() const
+    {
+        for (const auto &[command, position] : m_accepted)
+            require(m_history.commands.at(position - 1) == command, "an accepted command reverts");
+        const std::set<std::uint64_t> applied(m_history.commands.begin(), m_history.commands.end());
+        require(applied.size() == m_history.commands.size(), "a command is applied twice");
+        for (const auto command : m_refused)
+            require(!applied.contains(command), "a refused command is applied");
+    }
+
+    void checkLogMatching()
+    {
+        std::vector<std::vector<LogEntry>> logs;
+        for (auto &[id, host] : m_members) {
+            FakeDisk copy = host->disk;
+            logs.push_back(LogStore::open(copy, "q-", id).value()->takeRecovered().entries);
+        }
+        for (const auto &one : logs) {
+            for (const auto &other : logs)
+                require(logsMatch(one, other), "log matching");
+        }
+    }
+
+    // From the last entry that both share backwards, everything must be the same.
+    static bool logsMatch(const std::vector<LogEntry> &one, const std::vector<LogEntry> &other)
+    {
+        bool share = false;
+        for (auto it = one.rbegin(); it != one.rend(); ++it) {
+            if (other.empty() || it->index < other.front().index)
+                return true;
+            if (it->index > other.back().index)
+                continue;
+            const LogEntry &counterpart = other[it->index - other.front().index];
+            if (share && counterpart != *it)
+                return false;
+            share = share || counterpart.term == it->term;
+            if (share && counterpart != *it)
+                return false;
+        }
+        return true;
+    }
+
+    RaftOptions m_options;
+    std::mt19937_64 m_random;
+    Instant m_now { std::chrono::seconds(1000) };
+    std::vector<MemberId> m_firstVoters;
+    std::map<MemberId, std::unique_ptr<Member>> m_members;
+    std::map<MemberId, std::multimap<Instant, Bytes>> m_queues;
+    SharedHistory m_history;
+    std::map<Term, MemberId> m_leaders;
+    std::map<Ticket, Request> m_requests;
+    std::map<Ticket, ResultCode> m_outcomes;
+    std::map<std::uint64_t, std::uint64_t> m_accepted; // Command to position.
+    std::set<std::uint64_t> m_refused;
+    std::uint64_t m_lastCommand = 0;
+    std::size_t m_floor = 0;
+    std::size_t m_confirmedReads = 0;
+    std::size_t m_starts = 0;
+};
+
+} // namespace ggv::test
--- a/packages/state/ggv/state/storage/log_store.cpp
+++ b/packages/state/ggv/state/storage/log_store.cpp
@@ -256,7 +256,8 @@
         if (stored.empty() || stored.front() > snapshot.index + 1)
             throwCorrupt("missing log file " + segmentPrefix());
         for (const LogIndex first : stored)
-            readSegment(first, first == stored.back());
+            readSegment(first);
+        cutTornTails();
         m_synced = lastIndex();
         if (m_resetInterrupted)
             discardLog(snapshot.index + 1);
@@ -265,16 +266,14 @@
         dropEntriesOutside();
     }
 
-    void readSegment(LogIndex first, bool isLast)
+    void readSegment(LogIndex first)
     {
         const std::string name = segmentName(first);
         const Bytes file = m_disk.read(name).value_or(Bytes {});
         ParsedSegment parsed = detail::parseSegment(file, m_memberId, name, first);
-        if (parsed.torn && !isLast)
-            throwCorrupt("damaged log file " + name);
         checkFollows(first);
-        if (isLast)
-            settleTail(parsed);
+        if (parsed.torn)
+            m_tornSegments.push_back(name);
         m_segments.push_back(std::move(parsed.segment));
         std::move(parsed.entries.begin(), parsed.entries.end(),
                   std::back_inserter(m_recovered.entries));
@@ -290,12 +289,16 @@
         m_resetInterrupted = true;
     }
 
-    // Entries that survived without a sync may be only in the page cache: sync before use.
-    void settleTail(const ParsedSegment &parsed)
+    // Only after every file was found to join the next one. Entries that survived without a sync
+    // may be only in the page cache: sync before use.
+    void cutTornTails()
     {
-        if (parsed.torn)
-            m_disk.truncate(parsed.segment.name, parsed.segment.size);
-        m_disk.sync(parsed.segment.name);
+        for (const LogSegment &segment : m_segments) {
+            if (std::find(m_tornSegments.begin(), m_tornSegments.end(), segment.name)
+                != m_tornSegments.end())
+                m_disk.truncate(segment.name, segment.size);
+            m_disk.sync(segment.name);
+        }
     }
 
     void dropEntriesOutside()
@@ -413,6 +416,7 @@
     std::uint64_t m_memberId;
     RecoveredState m_recovered;
     std::deque<LogSegment> m_segments;
+    std::vector<std::string> m_tornSegments; // End in an unfinished write.
     Bytes m_buffer; // Records of the active segment that are not yet given to the disk.
     LogIndex m_synced = 0;
     bool m_resetInterrupted = false;
