--- a/packages/state/ggv/state/steering/fwd.hpp
+++ b/packages/state/ggv/state/steering/fwd.hpp
@@ -11,5 +11,11 @@
 struct DrainWindow;
 struct ShiftRampPolicy;
 class ShiftRamp;
+class ClientBlockIndex;
+struct LookupView;
+struct LookupQuery;
+struct LookupHost;
+class LookupAnswer;
+class LookupTable;
 
 } // namespace ggv
