--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -1,5 +1,6 @@
 #include <ggv/coordination/control/control_plane.hpp>
 
+#include <ggv/coordination/claims/claim_machine.hpp>
 #include <ggv/coordination/control/configuration_feed.hpp>
 #include <ggv/coordination/control/configuration_machine.hpp>
 #include <ggv/coordination/control/host_tracker.hpp>
@@ -89,12 +90,14 @@
         };
         m_quorums = std::make_unique<QuorumSet>(m_context, m_disk.get(), m_self, incarnation, send);
         m_proposer = std::make_unique<Proposer>(*m_quorums, send);
+        m_claims = std::make_unique<ClaimDesk>(m_setup.process, *m_quorums, send);
         m_leases = std::make_unique<LeaseDesk>(
             m_self, *m_quorums, send, [this](const LeaseAnswer &answer) { granted(answer); });
         m_holder.emplace(createHolder());
         m_network = std::make_unique<PeerNetwork>(m_context, peerIdentity(), FrameOptions {},
                                                   peerHandlers());
         joinQuorums(*m_setup.bootstrap);
+        m_claims->setGroups(m_setup.bootstrap->content().claimGroups);
         m_network->listen(settings.internal);
         LOG(INFO) << "control: host " << m_self.text() << " starts, member " << m_quorums->self();
         schedule();
@@ -131,6 +134,7 @@
     }
 
     boost::asio::io_context &m_context;
+    std::unique_ptr<ClaimDesk> m_claims;
 
 private:
     // Set-up.
@@ -194,6 +198,10 @@
         const auto &voters = content.content().controlVoters;
         if (isControlVoter(content, m_self) && !m_quorums->contains(std::string(ControlGroup)))
             m_quorums->join(std::string(ControlGroup), voters, createConfigurationMachine());
+        for (const auto &group : content.content().claimGroups) {
+            if (std::find(group.voters.begin(), group.voters.end(), m_self) != group.voters.end())
+                m_quorums->join(group.name.text(), group.voters, std::make_unique<ClaimMachine>());
+        }
     }
 
     std::unique_ptr<ConfigurationMachine> createConfigurationMachine()
@@ -280,11 +288,19 @@
 
     void receive(const HostName &, const LeaseAnswer &answer) { m_leases->receive(answer); }
 
+    void receive(const HostName &host, const ClaimGroupCall &call)
+    {
+        m_claims->receive(host, call);
+    }
+
+    void receive(const HostName &, const ClaimGroupAnswer &answer) { m_claims->receive(answer); }
+
     // The register.
 
     void registerKnown()
     {
         joinQuorums(*m_feed.newest());
+        m_claims->setGroups(m_feed.newest()->content().claimGroups);
         publish();
         for (auto &[host, child] : m_children)
             pushTo(host, child);
@@ -347,6 +363,7 @@
     void tick(Instant now)
     {
         m_proposer->tick(now);
+        m_claims->tick(now);
         std::erase_if(m_children,
                       [now](const auto &it) { return now - it.second.heardAt > ChildLifetime; });
         if (m_quorums->leads(std::string(ControlGroup)))
@@ -521,6 +538,39 @@
                       });
 }
 
+void ControlPlane::claim(const std::string &group, const ClaimRequest &request, Instant deadline,
+                         ClaimDesk::OutcomeHandler onOutcome)
+{
+    boost::asio::post(m_implementation->m_context,
+                      [implementation = m_implementation, group, request, deadline,
+                       onOutcome = std::move(onOutcome)]() mutable {
+                          implementation->m_claims->claim(group, request, deadline,
+                                                          std::move(onOutcome));
+                      });
+}
+
+void ControlPlane::releaseClaim(const std::string &group, const ClaimRelease &release)
+{
+    boost::asio::post(m_implementation->m_context,
+                      [implementation = m_implementation, group, release] {
+                          implementation->m_claims->release(group, release);
+                      });
+}
+
+void ControlPlane::completeClaim(const std::string &group, ClaimCompletion completion)
+{
+    boost::asio::post(
+        m_implementation->m_context,
+        [implementation = m_implementation, group, completion = std::move(completion)]() mutable {
+            implementation->m_claims->complete(group, std::move(completion));
+        });
+}
+
+std::uint64_t ControlPlane::seenPosition(const std::string &group) const
+{
+    return m_implementation->m_claims->seenPosition(group);
+}
+
 void ControlPlane::announceLeaving()
 {
     boost::asio::post(m_implementation->m_context,
--- a/packages/coordination/ggv/coordination/control/control_plane.hpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ggv/coordination/claims/claim_desk.hpp>
 #include <ggv/coordination/node/settings.hpp>
 #include <ggv/coordination/quorum/proposer.hpp>
 #include <ggv/protocol/message/peer_message.hpp>
@@ -91,6 +92,15 @@
      */
     void propose(const std::string &group, Bytes command, Instant deadline,
                  Proposer::OutcomeHandler onDone);
+    //! Asks a claim group for a claim; see ClaimDesk. The handler runs on the control loop.
+    void claim(const std::string &group, const ClaimRequest &request, Instant deadline,
+               ClaimDesk::OutcomeHandler onOutcome);
+    //! Gives back a granted claim under which no byte was sent.
+    void releaseClaim(const std::string &group, const ClaimRelease &release);
+    //! Records the result of a granted claim.
+    void completeClaim(const std::string &group, ClaimCompletion completion);
+    //! @return Newest known position of a claim group; to be noted when a request arrives.
+    [[nodiscard]] std::uint64_t seenPosition(const std::string &group) const;
     //! Reports this host as leaving from now on.
     void announceLeaving();
     //! Calls a function with what is known, on the control loop.
