--- /dev/null
+++ b/packages/state/bench/decision/host_decisions.cpp
@@ -0,0 +1,370 @@
+#include "host_decisions.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace ggv::bench {
+
+namespace {
+
+constexpr double ServiceTimeStep = 0.02;
+constexpr double MaximumDownShare = 0.5;
+constexpr double WantedMargin = 1.3;
+constexpr double LinkBurstSeconds = 0.05;
+constexpr double BytesPerKilobit = 125.0;
+constexpr Duration LeasePeriod = std::chrono::milliseconds(500);
+constexpr Duration LeaseLifetime = std::chrono::seconds(3);
+//! After its end others may still use what they were leased, until their requests' deadlines.
+constexpr Duration LeaseGrace = std::chrono::seconds(3);
+
+double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Proximity proximityOf(std::size_t one, std::size_t other)
+{
+    if (one == other)
+        return Proximity::SameDomain;
+    return regionOf(one) == regionOf(other) ? Proximity::SameRegion : Proximity::OtherRegion;
+}
+
+} // namespace
+
+HostDecisions::HostDecisions(const Deployment &deployment, const DecisionOptions &options,
+                             std::size_t domain, std::uint64_t seed)
+    : m_deployment(deployment)
+    , m_options(options)
+    , m_domain(domain)
+    , m_random(seed)
+{
+    for (const auto &model : deployment.services) {
+        auto &service = m_services.emplace_back();
+        service.queue = WaitQueue({ .capacity = 256, .order = options.queueOrder });
+        service.ramps.fill(ShiftRamp(options.ramp));
+        service.serviceTime = static_cast<double>(model.meanServiceTime.count());
+        for (std::size_t n = 0; n < model.targets; ++n) {
+            auto &view = service.targets.emplace_back();
+            view.domain = domainOfTarget(n);
+            view.proximity = proximityOf(domain, view.domain);
+            view.roundTrip = 2 * deployment.delay(domain, view.domain);
+            view.slots = model.slots;
+            view.limit = AdaptiveLimit::warm(options.adaptive);
+        }
+    }
+}
+
+TargetOrder HostDecisions::chooseOwn(std::size_t service, Instant now)
+{
+    auto &view = m_services[service];
+    m_states.clear();
+    for (const auto &it : view.targets)
+        m_states.push_back(it.health.state(now));
+    applyPanicRule(m_states, MaximumDownShare);
+    m_candidates.clear();
+    for (std::size_t n = 0; n < view.targets.size(); ++n) {
+        const auto &it = view.targets[n];
+        auto &candidate = m_candidates.emplace_back();
+        candidate.index = static_cast<std::uint32_t>(n);
+        candidate.proximity = it.proximity;
+        candidate.health = m_states[n];
+        candidate.weight = std::min(it.health.weight(), it.drainWeight);
+        candidate.inFlight = it.inFlight;
+        candidate.limit = limitOf(service, it, now);
+        candidate.roundTrip = it.roundTrip;
+        const auto expected = it.limit.expectedLatency();
+        candidate.serviceTime
+            = expected > it.roundTrip ? expected - it.roundTrip : expectedServiceTime(view);
+    }
+    auto policy = m_options.choice;
+    if (m_options.hasCaps) {
+        const auto queued = static_cast<std::uint32_t>(view.queue.size());
+        policy.nearWait
+            = expectedWait({ queued, nearSlots(view), false, expectedServiceTime(view) });
+    }
+    return chooseTarget(m_candidates, m_random, policy);
+}
+
+TargetOrder HostDecisions::chooseRandom(std::size_t service, Instant now)
+{
+    return chooseByCost(service, now, &HostDecisions::randomCost);
+}
+
+TargetOrder HostDecisions::chooseRoundRobin(std::size_t service, Instant now)
+{
+    auto &view = m_services[service];
+    const auto targets = baselineTargets(view, now);
+    TargetOrder order;
+    if (!targets.empty())
+        order.append(static_cast<std::uint32_t>(targets[view.next++ % targets.size()]));
+    return order;
+}
+
+TargetOrder HostDecisions::chooseLeastInFlight(std::size_t service, Instant now)
+{
+    return chooseByCost(service, now, &HostDecisions::inFlightCost);
+}
+
+TargetOrder HostDecisions::chooseLeastReported(std::size_t service, Instant now)
+{
+    return chooseByCost(service, now, &HostDecisions::reportedCost);
+}
+
+AdmissionDecision HostDecisions::admit(std::size_t service, bool hasFreeSlot, Duration timeLeft,
+                                       Instant now)
+{
+    auto &view = m_services[service];
+    AdmissionLoad load;
+    load.queued = static_cast<std::uint32_t>(view.queue.size());
+    for (const auto &it : view.targets) {
+        const bool isUsable = it.health.state(now) <= HealthState::Suspect && it.drainWeight > 0.0;
+        load.slots += isUsable ? std::max(limitOf(service, it, now), it.inFlight) : 0;
+    }
+    load.hasFreeSlot = hasFreeSlot;
+    load.serviceTime = expectedServiceTime(view);
+    return decideAdmission(load, timeLeft, m_options.shed);
+}
+
+Duration HostDecisions::retryAfter(std::size_t service, Duration shortest, Instant now)
+{
+    auto &view = m_services[service];
+    ++view.shed;
+    return view.storm.onShed(shortest, m_random, now);
+}
+
+void HostDecisions::onRequest(std::size_t service, Instant now)
+{
+    m_services[service].retries.onRequest(now);
+}
+
+bool HostDecisions::tryRetry(std::size_t service, Instant now)
+{
+    return !m_options.hasRetryBudget || m_services[service].retries.tryRetry(now);
+}
+
+void HostDecisions::onSent(std::size_t service, std::size_t target, Instant now)
+{
+    auto &view = m_services[service];
+    auto &it = view.targets[target];
+    ++it.inFlight;
+    ++view.inFlight;
+    it.peakInFlight = std::max(it.peakInFlight, it.inFlight);
+    const auto queued = static_cast<std::uint32_t>(view.queue.size());
+    view.peakDemand = std::max(view.peakDemand, view.inFlight + queued);
+    if (it.proximity != Proximity::OtherRegion || !m_options.hasCaps)
+        return;
+    const auto region = regionOf(it.domain);
+    (void)view.ramps[region].tryShift(view.shiftShares[region], now);
+    ++view.shiftTries[region];
+    m_links[region].tokens -= m_deployment.services[service].answerBytes;
+}
+
+void HostDecisions::onFreed(std::size_t service, std::size_t target)
+{
+    --m_services[service].targets[target].inFlight;
+    --m_services[service].inFlight;
+}
+
+void HostDecisions::onOutcome(std::size_t service, std::size_t target, RequestOutcome outcome,
+                              Instant sentAt, Instant now)
+{
+    auto &view = m_services[service];
+    auto &it = view.targets[target];
+    it.health.observeRequest(outcome, sentAt, now);
+    if (outcome == RequestOutcome::TimedOut || outcome == RequestOutcome::Overloaded)
+        it.limit.onOverload(now);
+    if (outcome != RequestOutcome::Success)
+        return;
+    it.limit.onSuccess(now - sentAt, now);
+    view.storm.onServed(now);
+    const auto latency = static_cast<double>((now - sentAt).count());
+    view.serviceTime += ServiceTimeStep * (latency - view.serviceTime);
+}
+
+void HostDecisions::onAnswerBytes(std::size_t region, double bytes)
+{
+    m_links[region].tokens -= bytes;
+}
+
+void HostDecisions::onReport(std::size_t service, std::size_t target,
+                             const TargetLoadReport &report, Instant now)
+{
+    auto &it = m_services[service].targets[target];
+    it.reported = report.inFlight;
+    it.limit.onReport(report, now);
+}
+
+void HostDecisions::onShares(const HostShares &shares, Instant requestedAt)
+{
+    m_sharesRequestedAt = requestedAt;
+    for (std::size_t service = 0; service < ServiceCount; ++service) {
+        auto &view = m_services[service];
+        for (std::size_t n = 0; n < view.targets.size(); ++n)
+            view.targets[n].leased = shares.slots[service][n];
+        view.shiftShares = shares.shifts[service];
+    }
+    for (std::size_t region = 0; region < RegionCount; ++region)
+        m_links[region].share = shares.links[region];
+}
+
+void HostDecisions::onDrain(std::size_t service, std::size_t target, double weight)
+{
+    const double step = weight < 1.0 ? 0.0 : 1.0;
+    auto &view = m_services[service].targets[target];
+    view.drainWeight = m_options.hasDrainSchedule ? weight : step;
+}
+
+HostDecisions::Wants HostDecisions::takeWants()
+{
+    Wants wants;
+    for (std::size_t service = 0; service < ServiceCount; ++service) {
+        auto &view = m_services[service];
+        for (const auto &it : view.targets)
+            wants.held.slots[service].push_back(std::max(it.leased, it.inFlight));
+        wants.held.shifts[service] = view.shiftShares;
+        wantSlots(service, wants.wanted);
+        for (std::size_t region = 0; region < RegionCount; ++region) {
+            const double rate = view.shiftTries[region] / toSeconds(LeasePeriod);
+            wants.wanted.shifts[service][region]
+                = static_cast<std::uint32_t>(std::ceil(rate * WantedMargin));
+            wants.wanted.links[region] += static_cast<std::uint32_t>(
+                std::ceil(rate * WantedMargin * m_deployment.services[service].answerBytes
+                          / BytesPerKilobit));
+        }
+        for (auto &it : view.targets)
+            it.peakInFlight = it.inFlight;
+        view.peakDemand = view.inFlight + static_cast<std::uint32_t>(view.queue.size());
+        view.shiftTries.fill(0);
+        view.shed = 0;
+    }
+    for (std::size_t region = 0; region < RegionCount; ++region)
+        wants.held.links[region] = m_links[region].share;
+    return wants;
+}
+
+void HostDecisions::refresh(Instant now)
+{
+    expireShares(now);
+    const double seconds = toSeconds(now - m_refreshedAt);
+    m_refreshedAt = now;
+    for (auto &it : m_links) {
+        const double rate = it.share * BytesPerKilobit;
+        it.tokens = std::min(rate * LinkBurstSeconds, it.tokens + rate * seconds);
+    }
+}
+
+TargetOrder HostDecisions::chooseByCost(std::size_t service, Instant now, Cost cost)
+{
+    const auto &view = m_services[service];
+    const auto targets = baselineTargets(view, now);
+    TargetOrder order;
+    if (targets.empty())
+        return order;
+    const std::size_t start = m_random() % targets.size();
+    auto least = std::numeric_limits<double>::infinity();
+    auto best = targets[start];
+    for (std::size_t n = 0; n < targets.size(); ++n) {
+        const auto target = targets[(start + n) % targets.size()];
+        const double value = (this->*cost)(view.targets[target]);
+        if (value >= least)
+            continue;
+        least = value;
+        best = target;
+    }
+    order.append(static_cast<std::uint32_t>(best));
+    return order;
+}
+
+double HostDecisions::randomCost(const TargetView &) { return uniformFraction(m_random); }
+
+double HostDecisions::inFlightCost(const TargetView &view) { return view.inFlight; }
+
+double HostDecisions::reportedCost(const TargetView &view) { return view.reported; }
+
+std::vector<std::size_t> HostDecisions::baselineTargets(const ServiceView &view, Instant now)
+{
+    std::vector<std::size_t> near;
+    std::vector<std::size_t> far;
+    for (std::size_t n = 0; n < view.targets.size(); ++n) {
+        const auto &it = view.targets[n];
+        if (it.drainWeight <= 0.0 || it.health.state(now) > HealthState::Suspect)
+            continue;
+        (it.proximity == Proximity::OtherRegion ? far : near).push_back(n);
+    }
+    return near.empty() ? far : near;
+}
+
+std::uint32_t HostDecisions::limitOf(std::size_t service, const TargetView &view, Instant now)
+{
+    const auto region = regionOf(view.domain);
+    const bool isFar = view.proximity == Proximity::OtherRegion;
+    if (isFar && m_spareRegion && region != *m_spareRegion)
+        return 0;
+    if (m_options.hasCaps && isFar && !mayShift(service, region, now))
+        return 0;
+    const auto slots = m_options.hasCaps ? view.leased : view.slots;
+    return m_options.hasAdaptiveLimit ? view.limit.limit(slots) : slots;
+}
+
+bool HostDecisions::mayShift(std::size_t service, std::size_t region, Instant now)
+{
+    auto &view = m_services[service];
+    return m_links[region].tokens > 0.0
+        && view.ramps[region].canShift(view.shiftShares[region], now);
+}
+
+std::uint32_t HostDecisions::nearSlots(const ServiceView &view) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &it : view.targets) {
+        const bool isNear = it.proximity != Proximity::OtherRegion;
+        slots += isNear && it.drainWeight > 0.0 ? it.limit.limit(it.leased) : 0;
+    }
+    return slots;
+}
+
+Duration HostDecisions::expectedServiceTime(const ServiceView &view) const
+{
+    return Duration(std::llround(view.serviceTime));
+}
+
+void HostDecisions::expireShares(Instant now)
+{
+    if (!m_options.hasCaps || now < m_sharesRequestedAt + LeaseLifetime)
+        return;
+    const bool mayUseFixedShare = now >= m_sharesRequestedAt + LeaseLifetime + LeaseGrace;
+    for (std::size_t service = 0; service < ServiceCount; ++service) {
+        auto &view = m_services[service];
+        view.shiftShares.fill(0);
+        for (auto &it : view.targets) {
+            const bool isOwn = it.domain == m_domain;
+            const auto fixed = isOwn ? it.fixedShare : 0;
+            it.leased = mayUseFixedShare ? fixed : std::min(it.leased, fixed);
+        }
+    }
+}
+
+void HostDecisions::wantSlots(std::size_t service, HostShares &wanted) const
+{
+    const auto &view = m_services[service];
+    const double shedDemand
+        = view.shed / toSeconds(LeasePeriod) * view.serviceTime / Duration::period::den;
+    const double demand = view.peakDemand + shedDemand;
+    double near = 0.0;
+    double farTargets = 0.0;
+    for (const auto &it : view.targets) {
+        const bool isFar = it.proximity == Proximity::OtherRegion;
+        near += isFar || it.drainWeight <= 0.0 ? 0 : it.limit.limit(it.leased);
+        farTargets += isFar && it.drainWeight > 0.0 ? 1.0 : 0.0;
+    }
+    const double unmet = std::max(0.0, demand - near);
+    for (const auto &it : view.targets) {
+        const bool isFar = it.proximity == Proximity::OtherRegion;
+        const double spread = isFar ? unmet / std::max(farTargets, 1.0) : unmet / 4.0;
+        const double own = it.peakInFlight + (isFar ? 0.0 : 1.0);
+        const bool isWanted = it.drainWeight > 0.0;
+        wanted.slots[service].push_back(
+            isWanted ? static_cast<std::uint32_t>(std::ceil(own + spread)) : 0);
+    }
+}
+
+} // namespace ggv::bench
--- /dev/null
+++ b/packages/state/bench/decision/scenario.cpp
@@ -0,0 +1,142 @@
+#include "scenario.hpp"
+
+#include <algorithm>
+
+namespace ggv::bench {
+
+namespace {
+
+constexpr Duration BoundStep = std::chrono::milliseconds(250);
+
+using PerRegion = std::array<double, RegionCount>;
+
+bool contains(const std::vector<std::size_t> &domains, std::size_t domain) noexcept
+{
+    return std::ranges::find(domains, domain) != domains.end();
+}
+
+PerRegion capacityAt(const ServiceModel &service, const Scenario &scenario, Instant now)
+{
+    PerRegion capacity {};
+    const auto mean = std::chrono::duration<double>(service.meanServiceTime).count();
+    for (std::size_t n = 0; n < service.targets; ++n) {
+        const auto domain = domainOfTarget(n);
+        if (scenario.isTargetLost(domain, now))
+            continue;
+        const double share = scenario.plannedWeight(domain, now) > 0.0 ? 1.0 : 0.0;
+        capacity[regionOf(domain)]
+            += share * service.slots / (mean * scenario.serviceFactor(n, now));
+    }
+    return capacity;
+}
+
+//! Callers of lost entry hosts may use any other one, so their demand fits anywhere.
+double freeDemand(double perDomain, const Scenario &scenario, Instant now, PerRegion &demand)
+{
+    double unbound = 0.0;
+    for (std::size_t domain = 0; domain < DomainCount; ++domain) {
+        if (scenario.isHostLost(domain, now))
+            unbound += perDomain;
+        else
+            demand[regionOf(domain)] += perDomain;
+    }
+    return unbound;
+}
+
+//! Greatest flow from demand to capacity: own region first, then as the caps allow.
+double served(const PerRegion &demand, PerRegion capacity, double cap)
+{
+    double total = 0.0;
+    PerRegion left {};
+    for (std::size_t n = 0; n < RegionCount; ++n) {
+        const double own = std::min(demand[n], capacity[n]);
+        total += own;
+        left[n] = demand[n] - own;
+        capacity[n] -= own;
+    }
+    for (std::size_t from = 0; from < RegionCount; ++from) {
+        for (std::size_t to = 0; to < RegionCount; ++to) {
+            const double moved = std::min({ left[from], capacity[to], cap });
+            total += moved;
+            left[from] -= moved;
+            capacity[to] -= moved;
+        }
+    }
+    return total;
+}
+
+double shedRate(const ServiceModel &service, const Scenario &scenario, Instant now, double arrivals)
+{
+    PerRegion demand {};
+    const double unbound = freeDemand(arrivals / DomainCount, scenario, now, demand);
+    const auto capacity = capacityAt(service, scenario, now);
+    double whole = 0.0;
+    for (const auto it : capacity)
+        whole += it;
+    const double bound = served(demand, capacity, service.shiftCap);
+    return arrivals - std::min(whole, bound + unbound);
+}
+
+} // namespace
+
+bool Scenario::isTargetLost(std::size_t domain, Instant now) const noexcept
+{
+    return now >= FaultStart && contains(lostTargetDomains, domain);
+}
+
+bool Scenario::isHostLost(std::size_t domain, Instant now) const noexcept
+{
+    return now >= FaultStart && contains(lostHostDomains, domain);
+}
+
+double Scenario::serviceFactor(std::size_t target, Instant now) const noexcept
+{
+    const bool isSlow = slowEvery > 0 && target % slowEvery == 0;
+    return isSlow && now >= FaultStart && now < slowEnd ? slowFactor : 1.0;
+}
+
+double Scenario::plannedWeight(std::size_t domain, Instant now) const noexcept
+{
+    if (!drain || !drainedRegion || regionOf(domain) != *drainedRegion)
+        return 1.0;
+    return drainWeight(*drain, toUnixMillis(now));
+}
+
+std::vector<Scenario> scenarios()
+{
+    std::vector<Scenario> all;
+    all.push_back({ .name = "steady" });
+    all.push_back({ .name = "domain-lost", .lostTargetDomains = { 0 }, .lostHostDomains = { 0 } });
+    all.push_back(
+        { .name = "region-lost", .lostTargetDomains = { 0, 1 }, .lostHostDomains = { 0, 1 } });
+    all.push_back({ .name = "region-targets-lost", .lostTargetDomains = { 0, 1 } });
+    all.push_back({ .name = "region-drain",
+                    .load = 0.55,
+                    .drainedRegion = 0,
+                    .drain = DrainWindow { 10'000, 30'000 } });
+    all.push_back({ .name = "reports-stopped", .reportsStop = true });
+    all.push_back({ .name = "third-slow", .load = 0.55, .slowEvery = 3, .slowFactor = 5.0 });
+    all.push_back({ .name = "retry-storm",
+                    .slowEvery = 1,
+                    .slowFactor = 4.0,
+                    .slowEnd = Instant(std::chrono::seconds(15)),
+                    .callersRetry = true });
+    return all;
+}
+
+double unavoidableShed(const Deployment &deployment, const Scenario &scenario)
+{
+    double lost = 0.0;
+    double arrived = 0.0;
+    for (auto now = WarmUpEnd; now < RunEnd; now += BoundStep) {
+        for (const auto &service : deployment.services) {
+            const auto mean = std::chrono::duration<double>(service.meanServiceTime).count();
+            const double rate = scenario.load * service.targets * service.slots / mean;
+            lost += shedRate(service, scenario, now, rate);
+            arrived += rate;
+        }
+    }
+    return lost / arrived;
+}
+
+} // namespace ggv::bench
--- a/packages/state/ggv/state/steering/drain_schedule.cpp
+++ b/packages/state/ggv/state/steering/drain_schedule.cpp
@@ -44,14 +44,19 @@
 
 bool ShiftRamp::tryShift(double cap, Instant now) noexcept
 {
-    advance(cap, now);
-    if (cap <= 0.0 || m_tokens < 1.0)
+    if (!canShift(cap, now))
         return false;
     m_tokens -= 1.0;
     m_usedSinceUpdate += 1.0;
     return true;
 }
 
+bool ShiftRamp::canShift(double cap, Instant now) noexcept
+{
+    advance(cap, now);
+    return cap > 0.0 && m_tokens >= 1.0;
+}
+
 double ShiftRamp::allowedRate(double cap) const noexcept { return std::min(m_rate, cap); }
 
 void ShiftRamp::advance(double cap, Instant now) noexcept
--- a/packages/state/ggv/state/steering/drain_schedule.hpp
+++ b/packages/state/ggv/state/steering/drain_schedule.hpp
@@ -63,6 +63,14 @@
      */
     [[nodiscard]] bool tryShift(double cap, Instant now) noexcept;
 
+    /**
+     * @brief Asks without counting.
+     * @param cap Leased share of the shift's cap, in requests/s.
+     * @param now Current time.
+     * @return What tryShift() would return.
+     */
+    [[nodiscard]] bool canShift(double cap, Instant now) noexcept;
+
     //! @return The allowed rate in requests/s under that cap.
     [[nodiscard]] double allowedRate(double cap) const noexcept;
 
