Ask for slots by offered load, own failure domain first

Ruled out: the adaptive limit (same shed with a fixed limit). Now a host asks for its offered load and two standard deviations, spread over its own failure domain, then its region, then others as far as caps allow.

--- a/packages/state/bench/decision/host_decisions.cpp
+++ b/packages/state/bench/decision/host_decisions.cpp
@@ -11,6 +11,7 @@
 
 constexpr double ServiceTimeStep = 0.02;
 constexpr double MaximumDownShare = 0.5;
+constexpr double ArrivalRateStep = 0.5;
 constexpr double WantedMargin = 1.3;
 constexpr double LinkBurstSeconds = 0.05;
 constexpr double BytesPerKilobit = 125.0;
@@ -126,13 +127,12 @@
 
 Duration HostDecisions::retryAfter(std::size_t service, Duration shortest, Instant now)
 {
-    auto &view = m_services[service];
-    ++view.shed;
-    return view.storm.onShed(shortest, m_random, now);
+    return m_services[service].storm.onShed(shortest, m_random, now);
 }
 
 void HostDecisions::onRequest(std::size_t service, Instant now)
 {
+    ++m_services[service].arrivals;
     m_services[service].retries.onRequest(now);
 }
 
@@ -146,10 +146,6 @@
     auto &view = m_services[service];
     auto &it = view.targets[target];
     ++it.inFlight;
-    ++view.inFlight;
-    it.peakInFlight = std::max(it.peakInFlight, it.inFlight);
-    const auto queued = static_cast<std::uint32_t>(view.queue.size());
-    view.peakDemand = std::max(view.peakDemand, view.inFlight + queued);
     if (it.proximity != Proximity::OtherRegion || !m_options.hasCaps)
         return;
     const auto region = regionOf(it.domain);
@@ -161,7 +157,6 @@
 void HostDecisions::onFreed(std::size_t service, std::size_t target)
 {
     --m_services[service].targets[target].inFlight;
-    --m_services[service].inFlight;
 }
 
 void HostDecisions::onOutcome(std::size_t service, std::size_t target, RequestOutcome outcome,
@@ -221,6 +216,8 @@
         for (const auto &it : view.targets)
             wants.held.slots[service].push_back(std::max(it.leased, it.inFlight));
         wants.held.shifts[service] = view.shiftShares;
+        const double arrivalRate = view.arrivals / toSeconds(LeasePeriod);
+        view.arrivalRate += ArrivalRateStep * (arrivalRate - view.arrivalRate);
         wantSlots(service, wants.wanted);
         for (std::size_t region = 0; region < RegionCount; ++region) {
             const double rate = view.shiftTries[region] / toSeconds(LeasePeriod);
@@ -230,11 +227,8 @@
                 std::ceil(rate * WantedMargin * m_deployment.services[service].answerBytes
                           / BytesPerKilobit));
         }
-        for (auto &it : view.targets)
-            it.peakInFlight = it.inFlight;
-        view.peakDemand = view.inFlight + static_cast<std::uint32_t>(view.queue.size());
         view.shiftTries.fill(0);
-        view.shed = 0;
+        view.arrivals = 0;
     }
     for (std::size_t region = 0; region < RegionCount; ++region)
         wants.held.links[region] = m_links[region].share;
@@ -346,25 +340,26 @@
 void HostDecisions::wantSlots(std::size_t service, HostShares &wanted) const
 {
     const auto &view = m_services[service];
-    const double shedDemand
-        = view.shed / toSeconds(LeasePeriod) * view.serviceTime / Duration::period::den;
-    const double demand = view.peakDemand + shedDemand;
-    double near = 0.0;
-    double farTargets = 0.0;
-    for (const auto &it : view.targets) {
-        const bool isFar = it.proximity == Proximity::OtherRegion;
-        near += isFar || it.drainWeight <= 0.0 ? 0 : it.limit.limit(it.leased);
-        farTargets += isFar && it.drainWeight > 0.0 ? 1.0 : 0.0;
-    }
-    const double unmet = std::max(0.0, demand - near);
-    for (const auto &it : view.targets) {
-        const bool isFar = it.proximity == Proximity::OtherRegion;
-        const double spread = isFar ? unmet / std::max(farTargets, 1.0) : unmet / 4.0;
-        const double own = it.peakInFlight + (isFar ? 0.0 : 1.0);
-        const bool isWanted = it.drainWeight > 0.0;
-        wanted.slots[service].push_back(
-            isWanted ? static_cast<std::uint32_t>(std::ceil(own + spread)) : 0);
-    }
+    std::vector<DemandTarget> targets;
+    double farLimit = 0.0;
+    for (const auto &it : view.targets)
+        targets.push_back({ it.proximity, isWanted(it) ? it.slots : 0 });
+    for (std::size_t region = 0; region < RegionCount; ++region)
+        farLimit += region == regionOf(m_domain) ? 0.0 : view.shiftShares[region];
+    const double seconds = view.serviceTime / Duration::period::den;
+    const auto needed
+        = neededSlots(view.arrivalRate, expectedServiceTime(view), m_options.demandMargin);
+    auto &slots = wanted.slots[service];
+    slots.resize(targets.size());
+    spreadDemand(needed, farLimit * seconds, targets, slots);
+}
+
+bool HostDecisions::isWanted(const TargetView &view) const
+{
+    const bool isSpare = !m_spareRegion || view.proximity != Proximity::OtherRegion
+        || regionOf(view.domain) == *m_spareRegion;
+    return isSpare && view.drainWeight > 0.0
+        && view.health.state(m_refreshedAt) <= HealthState::Suspect;
 }
 
 } // namespace ggv::bench
--- a/packages/state/bench/decision/host_decisions.hpp
+++ b/packages/state/bench/decision/host_decisions.hpp
@@ -9,6 +9,7 @@
 #include <ggv/state/admission/wait_queue.hpp>
 #include <ggv/state/health/target_health.hpp>
 #include <ggv/state/steering/drain_schedule.hpp>
+#include <ggv/state/steering/slot_demand.hpp>
 #include <ggv/state/steering/target_choice.hpp>
 
 #include <optional>
@@ -29,6 +30,7 @@
     AdaptiveLimitPolicy adaptive;
     ShiftRampPolicy ramp;
     bool hasAdaptiveLimit = true;
+    double demandMargin = 2.0; //!< Standard deviations of the load to lease slots for.
 };
 
 //! Shares of all limits of one host.
@@ -101,7 +103,6 @@
         std::uint32_t leased = 0;
         std::uint32_t fixedShare = 0;
         std::uint32_t inFlight = 0;
-        std::uint32_t peakInFlight = 0;
         std::uint32_t reported = 0;
         double drainWeight = 1.0;
         TargetHealth health = TargetHealth::warm();
@@ -119,9 +120,8 @@
         std::array<std::uint32_t, RegionCount> shiftShares {};
         std::array<std::uint32_t, RegionCount> shiftTries {}; //!< In this period.
         double serviceTime = 0.0; //!< Recent, in microseconds, network included.
-        std::uint32_t inFlight = 0;
-        std::uint32_t peakDemand = 0; //!< In flight and queued, in this period.
-        std::uint32_t shed = 0; //!< In this period.
+        std::uint32_t arrivals = 0; //!< In this period.
+        double arrivalRate = 0.0; //!< Recent, per second.
         std::size_t next = 0; //!< For round robin.
     };
 
@@ -144,6 +144,7 @@
     [[nodiscard]] std::uint32_t nearSlots(const ServiceView &view) const;
     [[nodiscard]] Duration expectedServiceTime(const ServiceView &view) const;
     void expireShares(Instant now);
+    [[nodiscard]] bool isWanted(const TargetView &view) const;
     void wantSlots(std::size_t service, HostShares &wanted) const;
 
     const Deployment &m_deployment;
--- a/packages/state/bench/decision/policy.cpp
+++ b/packages/state/bench/decision/policy.cpp
@@ -28,6 +28,8 @@
     all.back().spread = Spread::Declustered;
     all.push_back(own("ggv-lifo"));
     all.back().options.queueOrder = QueueOrder::AdaptiveLifo;
+    all.push_back(own("ggv-fixed-limit"));
+    all.back().options.hasAdaptiveLimit = false;
     all.push_back(own("ggv-caps-off"));
     all.back().options.hasCaps = false;
     all.push_back(baseline("random", &HostDecisions::chooseRandom));
