--- a/packages/state/bench/decision/host_decisions.cpp
+++ b/packages/state/bench/decision/host_decisions.cpp
@@ -159,15 +159,15 @@
     --m_services[service].targets[target].inFlight;
 }
 
-void HostDecisions::onOutcome(std::size_t service, std::size_t target, RequestOutcome outcome,
+void HostDecisions::onOutcome(std::size_t service, std::size_t target, TargetOutcome outcome,
                               Instant sentAt, Instant now)
 {
     auto &view = m_services[service];
     auto &it = view.targets[target];
     it.health.observeRequest(outcome, sentAt, now);
-    if (outcome == RequestOutcome::TimedOut || outcome == RequestOutcome::Overloaded)
+    if (outcome == TargetOutcome::TimedOut || outcome == TargetOutcome::Overloaded)
         it.limit.onOverload(now);
-    if (outcome != RequestOutcome::Success)
+    if (outcome != TargetOutcome::Success)
         return;
     it.limit.onSuccess(now - sentAt, now);
     view.storm.onServed(now);
--- a/packages/state/bench/decision/host_decisions.hpp
+++ b/packages/state/bench/decision/host_decisions.hpp
@@ -65,7 +65,7 @@
     void onSent(std::size_t service, std::size_t target, Instant now);
     //! Notes the end of a request at the target, which frees its slot.
     void onFreed(std::size_t service, std::size_t target);
-    void onOutcome(std::size_t service, std::size_t target, RequestOutcome outcome, Instant sentAt,
+    void onOutcome(std::size_t service, std::size_t target, TargetOutcome outcome, Instant sentAt,
                    Instant now);
     void onAnswerBytes(std::size_t region, double bytes);
     void onReport(std::size_t service, std::size_t target, const TargetLoadReport &report,
--- a/packages/state/bench/decision/simulation.cpp
+++ b/packages/state/bench/decision/simulation.cpp
@@ -131,7 +131,7 @@
     void serveQueue(std::size_t host, std::size_t service);
     void send(std::uint32_t request, std::uint32_t target);
     void retry(std::uint32_t request);
-    void closeAttempt(std::uint32_t attempt, RequestOutcome outcome);
+    void closeAttempt(std::uint32_t attempt, TargetOutcome outcome);
     [[nodiscard]] TargetOrder choose(const Request &request);
     [[nodiscard]] bool isCurrent(const Attempt &attempt) const;
     [[nodiscard]] Duration timeLeft(const Request &request) const;
@@ -410,7 +410,7 @@
     }
     if (it.attempt != None) {
         const auto &attempt = m_attempts[it.attempt];
-        host.onOutcome(it.service, attempt.target, RequestOutcome::TimedOut, attempt.sentAt, m_now);
+        host.onOutcome(it.service, attempt.target, TargetOutcome::TimedOut, attempt.sentAt, m_now);
     }
     end(request, Ending::Late);
 }
@@ -425,7 +425,7 @@
 {
     if (m_attempts[attempt].isEnded)
         return;
-    closeAttempt(attempt, RequestOutcome::Success);
+    closeAttempt(attempt, TargetOutcome::Success);
     const auto &it = m_attempts[attempt];
     if (isCurrent(it))
         end(it.request, Ending::Served);
@@ -434,14 +434,14 @@
 
 void Simulation::onRefused(std::uint32_t attempt, std::uint32_t)
 {
-    closeAttempt(attempt, RequestOutcome::Overloaded);
+    closeAttempt(attempt, TargetOutcome::Overloaded);
     if (isCurrent(m_attempts[attempt]))
         retry(m_attempts[attempt].request);
 }
 
 void Simulation::onConnectTimeout(std::uint32_t attempt, std::uint32_t)
 {
-    closeAttempt(attempt, RequestOutcome::TimedOut);
+    closeAttempt(attempt, TargetOutcome::TimedOut);
     if (isCurrent(m_attempts[attempt]))
         retry(m_attempts[attempt].request);
 }
@@ -450,7 +450,7 @@
 {
     if (m_attempts[attempt].isEnded)
         return;
-    closeAttempt(attempt, RequestOutcome::TimedOut);
+    closeAttempt(attempt, TargetOutcome::TimedOut);
     if (isCurrent(m_attempts[attempt]))
         end(m_attempts[attempt].request, Ending::Lost);
 }
@@ -545,7 +545,7 @@
         end(request, Ending::Failed);
 }
 
-void Simulation::closeAttempt(std::uint32_t attempt, RequestOutcome outcome)
+void Simulation::closeAttempt(std::uint32_t attempt, TargetOutcome outcome)
 {
     auto &it = m_attempts[attempt];
     it.isEnded = true;
--- a/packages/state/ggv/state/health/fwd.hpp
+++ b/packages/state/ggv/state/health/fwd.hpp
@@ -6,7 +6,7 @@
 
 enum class HealthState : std::uint8_t;
 enum class EvidenceSource : std::uint8_t;
-enum class RequestOutcome : std::uint8_t;
+enum class TargetOutcome : std::uint8_t;
 struct HealthPolicy;
 class TargetHealth;
 class ConnectionGeneration;
--- a/packages/state/ggv/state/health/target_health.cpp
+++ b/packages/state/ggv/state/health/target_health.cpp
@@ -8,9 +8,9 @@
 
 constexpr std::uint32_t MaximumBackoffDoublings = 16;
 
-bool isFailure(RequestOutcome outcome) noexcept
+bool isFailure(TargetOutcome outcome) noexcept
 {
-    return outcome != RequestOutcome::Success && outcome != RequestOutcome::Overloaded;
+    return outcome != TargetOutcome::Success && outcome != TargetOutcome::Overloaded;
 }
 
 } // namespace
@@ -31,14 +31,14 @@
     statement = std::max(statement, LeavingStatement { stamp, isLeaving });
 }
 
-void TargetHealth::observeRequest(RequestOutcome outcome, Instant sentAt, Instant now) noexcept
+void TargetHealth::observeRequest(TargetOutcome outcome, Instant sentAt, Instant now) noexcept
 {
     observe(m_requests, outcome, sentAt, now);
-    if (outcome == RequestOutcome::Success && m_requests.consecutive == 0)
+    if (outcome == TargetOutcome::Success && m_requests.consecutive == 0)
         advanceSlowStart(now);
 }
 
-void TargetHealth::observeProbe(RequestOutcome outcome, Instant sentAt, Instant now) noexcept
+void TargetHealth::observeProbe(TargetOutcome outcome, Instant sentAt, Instant now) noexcept
 {
     observe(m_probes, outcome, sentAt, now);
 }
@@ -62,7 +62,7 @@
     return std::clamp(share, m_policy.startWeight, 1.0);
 }
 
-void TargetHealth::observe(FailureTrack &track, RequestOutcome outcome, Instant sentAt,
+void TargetHealth::observe(FailureTrack &track, TargetOutcome outcome, Instant sentAt,
                            Instant now) noexcept
 {
     const double failed = isFailure(outcome) ? 1.0 : 0.0;
--- a/packages/state/ggv/state/health/target_health.hpp
+++ b/packages/state/ggv/state/health/target_health.hpp
@@ -19,7 +19,7 @@
 };
 
 //! How one request or probe to a target ended.
-enum class RequestOutcome : std::uint8_t {
+enum class TargetOutcome : std::uint8_t {
     Success,
     Refused, //!< Connection refused.
     Reset, //!< Connection lost before the whole answer.
@@ -71,10 +71,10 @@
      * @param sentAt When it was sent: a success sent before the last failure proves nothing.
      * @param now Current time.
      */
-    void observeRequest(RequestOutcome outcome, Instant sentAt, Instant now) noexcept;
+    void observeRequest(TargetOutcome outcome, Instant sentAt, Instant now) noexcept;
 
     //! @copydoc observeRequest
-    void observeProbe(RequestOutcome outcome, Instant sentAt, Instant now) noexcept;
+    void observeProbe(TargetOutcome outcome, Instant sentAt, Instant now) noexcept;
 
     //! @return The state at that time; Down turns into Suspect once the backoff has passed.
     [[nodiscard]] HealthState state(Instant now) const noexcept;
@@ -108,7 +108,7 @@
     };
 
     TargetHealth(const HealthPolicy &policy, bool isWarm) noexcept;
-    void observe(FailureTrack &track, RequestOutcome outcome, Instant sentAt, Instant now) noexcept;
+    void observe(FailureTrack &track, TargetOutcome outcome, Instant sentAt, Instant now) noexcept;
     void observeFailure(FailureTrack &track, Instant now) noexcept;
     void observeSuccess(FailureTrack &track, Instant sentAt) noexcept;
     void advanceSlowStart(Instant now) noexcept;
--- a/packages/state/test/health/target_health_test.cpp
+++ b/packages/state/test/health/target_health_test.cpp
@@ -58,7 +58,7 @@
 void fail(TargetHealth &health, int times, Instant now)
 {
     for (int n = 0; n < times; ++n)
-        health.observeRequest(RequestOutcome::Refused, now, now);
+        health.observeRequest(TargetOutcome::Refused, now, now);
 }
 
 class TargetHealthTest : public CppUnit::TestFixture
@@ -92,7 +92,7 @@
         auto health = fold({ { EvidenceSource::Platform, 3, true } });
         health.observeLeaving(EvidenceSource::Platform, 2, false);
         health.observeLeaving(EvidenceSource::Register, 9, false);
-        health.observeRequest(RequestOutcome::Success, Instant { Second }, Instant { Second });
+        health.observeRequest(TargetOutcome::Success, Instant { Second }, Instant { Second });
         CPPUNIT_ASSERT(isLeaving(health));
         CPPUNIT_ASSERT_EQUAL(0.0, health.weight());
     }
@@ -102,12 +102,12 @@
         const Instant now { Second };
         auto health = TargetHealth::warm();
         fail(health, 3, now);
-        health.observeProbe(RequestOutcome::Success, now, now);
+        health.observeProbe(TargetOutcome::Success, now, now);
         CPPUNIT_ASSERT(health.state(now) == HealthState::Down);
         auto probed = TargetHealth::warm();
         for (int n = 0; n < 3; ++n)
-            probed.observeProbe(RequestOutcome::TimedOut, now, now);
-        probed.observeRequest(RequestOutcome::Success, now, now);
+            probed.observeProbe(TargetOutcome::TimedOut, now, now);
+        probed.observeRequest(TargetOutcome::Success, now, now);
         CPPUNIT_ASSERT(probed.state(now) == HealthState::Down);
     }
 
@@ -116,7 +116,7 @@
         const Instant now { 2 * Second };
         auto health = TargetHealth::warm();
         fail(health, 3, now);
-        health.observeRequest(RequestOutcome::Success, now - Second, now);
+        health.observeRequest(TargetOutcome::Success, now - Second, now);
         CPPUNIT_ASSERT(health.state(now) == HealthState::Down);
     }
 
@@ -138,14 +138,14 @@
         Instant now { Second };
         auto health = TargetHealth::cold();
         const double atStart = health.weight();
-        health.observeRequest(RequestOutcome::Success, now, now);
+        health.observeRequest(TargetOutcome::Success, now, now);
         CPPUNIT_ASSERT_EQUAL(atStart, health.weight());
         now += 5 * Second;
         CPPUNIT_ASSERT_EQUAL(atStart, health.weight());
-        health.observeRequest(RequestOutcome::Success, now, now);
+        health.observeRequest(TargetOutcome::Success, now, now);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, health.weight(), 1e-9);
         now += 5 * Second;
-        health.observeRequest(RequestOutcome::Success, now, now);
+        health.observeRequest(TargetOutcome::Success, now, now);
         CPPUNIT_ASSERT_EQUAL(1.0, health.weight());
         fail(health, 3, now);
         CPPUNIT_ASSERT_EQUAL(atStart, health.weight());
@@ -156,7 +156,7 @@
         const Instant now { Second };
         auto health = TargetHealth::warm();
         for (int n = 0; n < 10; ++n)
-            health.observeRequest(RequestOutcome::Overloaded, now, now);
+            health.observeRequest(TargetOutcome::Overloaded, now, now);
         CPPUNIT_ASSERT(health.state(now) == HealthState::Working);
     }
 
