--- a/packages/coordination/ggv/coordination/entry/entry_view.cpp
+++ b/packages/coordination/ggv/coordination/entry/entry_view.cpp
@@ -7,35 +7,46 @@
 //! Round trip within a region, where the register states no delay.
 constexpr Duration RegionRoundTrip = std::chrono::milliseconds(1);
 
-TargetRoute routeTo(const Register &content, const FailureDomainName &domain, const Target &target)
+} // namespace
+
+Proximity proximityOf(const Register &content, const FailureDomainName &domain,
+                      const FailureDomainName &other) noexcept
 {
-    TargetRoute route;
-    route.target = &target;
-    if (target.domain == domain)
-        return route;
-    const auto *own = content.regionOf(domain);
-    const auto *other = content.regionOf(target.domain);
-    route.proximity = Proximity::SameRegion;
-    route.roundTrip = RegionRoundTrip;
-    if (own == nullptr || other == nullptr || *own == *other)
-        return route;
-    route.proximity = Proximity::OtherRegion;
-    if (const auto *link = content.link(*own, *other))
-        route.roundTrip = 2 * link->oneWayDelay;
-    return route;
+    if (domain == other)
+        return Proximity::SameDomain;
+    const auto *ownRegion = content.regionOf(domain);
+    const auto *otherRegion = content.regionOf(other);
+    const bool sameRegion
+        = ownRegion != nullptr && otherRegion != nullptr && *ownRegion == *otherRegion;
+    return sameRegion ? Proximity::SameRegion : Proximity::OtherRegion;
 }
 
-} // namespace
+Duration roundTripTo(const Register &content, const FailureDomainName &domain,
+                     const FailureDomainName &other) noexcept
+{
+    const Proximity proximity = proximityOf(content, domain, other);
+    if (proximity == Proximity::SameDomain)
+        return Duration(0);
+    if (proximity == Proximity::SameRegion)
+        return RegionRoundTrip;
+    const auto *ownRegion = content.regionOf(domain);
+    const auto *otherRegion = content.regionOf(other);
+    if (ownRegion == nullptr || otherRegion == nullptr)
+        return RegionRoundTrip;
+    const auto *link = content.link(*ownRegion, *otherRegion);
+    return link == nullptr ? RegionRoundTrip : 2 * link->oneWayDelay;
+}
 
 EntryView::EntryView(std::shared_ptr<const Register> content, const FailureDomainName &domain,
                      const StateSource &states)
     : m_content(std::move(content))
 {
     for (const auto &service : m_content->content().services) {
-        ServiceRoute route { &service, {} };
+        ServiceRoute route { &service, states.service(service), {} };
         for (const auto *target : m_content->targetsOf(service.name)) {
-            route.targets.push_back(routeTo(*m_content, domain, *target));
-            route.targets.back().state = states(*target);
+            route.targets.push_back({ target, states.target(*target),
+                                      proximityOf(*m_content, domain, target->domain),
+                                      roundTripTo(*m_content, domain, target->domain) });
         }
         m_services.emplace(service.name.text(), std::move(route));
     }
--- a/packages/coordination/ggv/coordination/entry/entry_view.hpp
+++ b/packages/coordination/ggv/coordination/entry/entry_view.hpp
@@ -4,6 +4,7 @@
 #include <ggv/state/model/register.hpp>
 #include <ggv/state/steering/target_choice.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -20,27 +21,48 @@
     Duration roundTrip { 0 }; //!< Network only, from the register.
 };
 
+//! What all threads of an entry host share about one service. Lock-free.
+struct ServiceState
+{
+    std::atomic<std::uint32_t> arrivals = 0; //!< Since the control loop took them last.
+    std::atomic<std::uint32_t> queued = 0; //!< Requests that wait for a slot.
+    std::atomic<Duration::rep> serviceTime = 0; //!< Mean time that a request holds a slot.
+};
+
 //! A service as one entry host sees it.
 struct ServiceRoute
 {
     const Service *service = nullptr;
+    std::shared_ptr<ServiceState> state;
     std::vector<TargetRoute> targets;
 };
 
+//! @return Where a failure domain is, seen from another one.
+[[nodiscard]] Proximity proximityOf(const Register &content, const FailureDomainName &domain,
+                                    const FailureDomainName &other) noexcept;
+
+//! @return Network round trip between failure domains, from the register's links.
+[[nodiscard]] Duration roundTripTo(const Register &content, const FailureDomainName &domain,
+                                   const FailureDomainName &other) noexcept;
+
 /**
  * @brief Everything that the request path reads, in one immutable value.
  */
 class EntryView
 {
 public:
-    //! Gives the state that is shared by all views for a target.
-    using StateSource = std::function<std::shared_ptr<TargetState>(const Target &)>;
+    //! Gives the states that all views share.
+    struct StateSource
+    {
+        std::function<std::shared_ptr<TargetState>(const Target &)> target;
+        std::function<std::shared_ptr<ServiceState>(const Service &)> service;
+    };
 
     /**
      * @brief Builds the view of one host.
      * @param content The register in force.
      * @param domain Failure domain of the host.
-     * @param states Source of target states.
+     * @param states Source of shared states.
      */
     EntryView(std::shared_ptr<const Register> content, const FailureDomainName &domain,
               const StateSource &states);
--- a/packages/coordination/ggv/coordination/entry/target_state.hpp
+++ b/packages/coordination/ggv/coordination/entry/target_state.hpp
@@ -18,6 +18,14 @@
 class TargetState
 {
 public:
+    //! @param number Number of the target in observations.
+    explicit TargetState(std::uint32_t number) noexcept
+        : m_number(number)
+    { }
+
+    //! @return Number of the target in observations.
+    [[nodiscard]] std::uint32_t number() const noexcept { return m_number; }
+
     //! Counts one request in flight unless the limit is reached. @return True if counted.
     [[nodiscard]] bool tryAcquire() noexcept
     {
@@ -53,15 +61,10 @@
         m_serviceTime.store(serviceTime.count());
     }
 
-    //! Counts work that found no free slot, so that more may be leased.
-    void noteUnmet() noexcept { m_unmet.fetch_add(1, std::memory_order_relaxed); }
-    //! @return Unmet demand since the last call.
-    [[nodiscard]] std::uint32_t takeUnmet() noexcept { return m_unmet.exchange(0); }
-
 private:
+    const std::uint32_t m_number;
     std::atomic<std::uint32_t> m_inFlight = 0;
     std::atomic<std::uint32_t> m_limit = 0;
-    std::atomic<std::uint32_t> m_unmet = 0;
     std::atomic<HealthState> m_health = HealthState::Working;
     std::atomic<double> m_weight = 1.0;
     std::atomic<Duration::rep> m_serviceTime = 0;
