--- /dev/null
+++ b/packages/coordination/ggv/coordination/entry/entry_context.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <ggv/coordination/control/control_plane.hpp>
+#include <ggv/coordination/entry/entry_view.hpp>
+#include <ggv/coordination/entry/target_board.hpp>
+#include <ggv/state/core/rcu_cell.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace ggv {
+
+//! What all requests of an entry host share.
+struct EntryContext
+{
+    //! Null until a register is in force.
+    RcuCell<EntryView> view { nullptr };
+    ControlPlane *control = nullptr;
+    TargetBoard *board = nullptr;
+    std::atomic<bool> leaving = false;
+};
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -0,0 +1,480 @@
+#include <ggv/coordination/entry/request_driver.hpp>
+
+#include <ggv/coordination/entry/headers.hpp>
+#include <ggv/coordination/entry/system_answer.hpp>
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+namespace ggv {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t ReplayBytes = 64 * 1024; //!< Of an idempotent request's body, for retries.
+constexpr std::size_t MaxKeptBytes = 1024 * 1024; //!< Of a kept answer's body.
+constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
+//! A kept connection that is silent this many usual service times is taken for dead.
+constexpr int SilenceFactor = 8;
+constexpr Duration MinSilence = std::chrono::milliseconds(300);
+//! Time after the deadline for which the result of a claimed request is still waited for.
+constexpr Duration LateAnswerTime = std::chrono::seconds(30);
+
+bool saysNotExecuted(const HttpAnswerHead &head)
+{
+    const auto *value = findHeader(head.headers, NotExecutedHeader);
+    return head.status == NotExecutedStatus && value != nullptr && *value == NotExecutedValue;
+}
+
+bool isOwnHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> Names { ServiceHeader, TimeoutHeader, ResultHeader,
+                                                      VerdictHeader };
+    return std::any_of(Names.begin(), Names.end(),
+                       [name](std::string_view it) { return equalsIgnoreCase(it, name); });
+}
+
+TargetOutcome outcomeOf(RequestEventKind kind)
+{
+    switch (kind) {
+    case RequestEventKind::ConnectFailed:
+        return TargetOutcome::Refused;
+    case RequestEventKind::TargetSilent:
+    case RequestEventKind::DeadlinePassed:
+        return TargetOutcome::TimedOut;
+    case RequestEventKind::TargetRefused:
+        return TargetOutcome::Overloaded;
+    default:
+        return TargetOutcome::Reset;
+    }
+}
+
+} // namespace
+
+RequestDriver::RequestDriver(EntryContext &context, EntryLoop &loop,
+                             std::shared_ptr<const EntryView> view, ServerExchange &caller)
+    : m_context(context)
+    , m_loop(loop)
+    , m_view(std::move(view))
+    , m_caller(caller)
+    , m_startedAt(monotonicNow())
+    , m_plan(planRequest(*m_view, caller.head()))
+    , m_outcome(m_startedAt + m_plan.timeLeft)
+{
+    if (m_plan.route != nullptr && m_plan.route->service->claimGroup) {
+        m_claimGroup = m_plan.route->service->claimGroup->text();
+        m_seenPosition = m_context.control->seenPosition(m_claimGroup);
+    }
+}
+
+RequestActions RequestDriver::apply(RequestEvent event)
+{
+    event.attempt = m_outcome.attempt();
+    return m_outcome.apply(event, { monotonicNow(), m_overload, m_loop.random()() });
+}
+
+RequestActions RequestDriver::apply(RequestEventKind kind) { return apply(RequestEvent { kind }); }
+
+RequestActions RequestDriver::refuse(ResultCode code, std::string message)
+{
+    m_message = std::move(message);
+    RequestEvent event { RequestEventKind::Refused };
+    event.code = code;
+    return apply(event);
+}
+
+RetryPermit RequestDriver::retryPermit()
+{
+    const bool again = m_bodyWhole && m_loop.hasOtherTarget(*m_plan.route, m_tried);
+    if (!again)
+        return RetryPermit::NoOtherTarget;
+    return m_loop.tryRetry(*m_plan.route) ? RetryPermit::Allowed : RetryPermit::BudgetSpent;
+}
+
+RequestActions RequestDriver::endAttempt(RequestEventKind kind)
+{
+    observe(outcomeOf(kind));
+    RequestEvent event { kind };
+    event.retry = retryPermit();
+    return apply(event);
+}
+
+bool RequestDriver::nonIdempotent() const noexcept
+{
+    return m_plan.kind == RequestKind::NonIdempotent;
+}
+
+asio::awaitable<void> RequestDriver::run()
+{
+    RequestActions actions = co_await receive();
+    if (actions.askClaim)
+        actions = co_await claim();
+    while (actions.chooseTarget)
+        actions = co_await attempt();
+    co_await conclude(std::move(actions));
+}
+
+asio::awaitable<RequestActions> RequestDriver::receive()
+{
+    RequestEvent parsed { RequestEventKind::HeadParsed };
+    parsed.requestKind = m_plan.kind;
+    (void)apply(parsed);
+    if (m_plan.refusal != ResultCode::Ok)
+        co_return refuse(m_plan.refusal, m_plan.message);
+    m_loop.onRequest(*m_plan.route);
+    std::optional<Error> fault;
+    try {
+        co_await bufferBody();
+    } catch (const Error &error) {
+        fault = error;
+    }
+    if (fault && fault->code() == ResultCode::CallerCancelled)
+        co_return apply(RequestEventKind::CallerGone);
+    if (fault)
+        co_return refuse(fault->code(), fault->what());
+    if (m_bodyWhole)
+        watchCaller();
+    co_return apply(RequestEventKind::Received);
+}
+
+// A non-idempotent request is read whole: its fingerprint covers the body.
+asio::awaitable<void> RequestDriver::bufferBody()
+{
+    const auto maxBytes = m_plan.route->service->maxBodyBytes;
+    m_caller.limitBody(maxBytes);
+    if (m_caller.head().contentLength.value_or(0) > maxBytes)
+        throw Error(ResultCode::BodyTooLarge, "request body is larger than the service allows");
+    const std::size_t wanted = nonIdempotent() ? SIZE_MAX : ReplayBytes;
+    std::array<std::uint8_t, ChunkBytes> chunk;
+    while (m_body.size() < wanted) {
+        const std::size_t n = co_await m_caller.readBody(chunk);
+        if (n == 0) {
+            m_bodyWhole = true;
+            co_return;
+        }
+        m_body.insert(m_body.end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+}
+
+ClaimRequest RequestDriver::claimRequest() const
+{
+    const auto &head = m_caller.head();
+    ClaimRequest request;
+    request.key = m_key;
+    request.keyTime = timeOfKey(m_plan.key);
+    request.seenPosition = m_seenPosition;
+    std::uint64_t digest = XXH3_64bits(head.method.data(), head.method.size());
+    digest = XXH3_64bits_withSeed(head.target.data(), head.target.size(), digest);
+    request.fingerprint = XXH3_64bits_withSeed(m_body.data(), m_body.size(), digest);
+    return request;
+}
+
+asio::awaitable<RequestActions> RequestDriver::claim()
+{
+    m_key = digestKey(m_plan.route->service->name, m_plan.key);
+    ClaimAnswer answer = co_await awaitClaim(m_loop.context(), *m_context.control, m_claimGroup,
+                                             claimRequest(), m_startedAt + m_plan.timeLeft);
+    m_claim = answer.claim;
+    if (!answer.outcome) {
+        m_message = "the claim group did not answer";
+        co_return apply(RequestEventKind::ClaimUnconfirmed);
+    }
+    RequestEvent event { RequestEventKind::ClaimDecided };
+    event.decision = answer.outcome->decision;
+    if (answer.outcome->answer) {
+        m_kept = std::move(*answer.outcome->answer);
+        event.answerKept = m_kept.complete;
+    }
+    co_return apply(event);
+}
+
+asio::awaitable<RequestActions> RequestDriver::attempt()
+{
+    endExchange(false);
+    AdmissionRefusal refusal;
+    m_target = co_await m_loop.admit(m_view, *m_plan.route, m_tried, m_startedAt + m_plan.timeLeft,
+                                     m_callerGone, refusal);
+    if (*m_callerGone)
+        co_return apply(RequestEventKind::CallerGone);
+    if (m_target.route == nullptr) {
+        m_overload = std::chrono::duration<double>(refusal.retryAfter).count();
+        co_return refuse(refusal.code, "no target can take the request now");
+    }
+    const auto chosen = apply(RequestEventKind::TargetChosen);
+    if (!chosen.connect)
+        co_return chosen;
+    m_tried.insert(m_target.route->state->number());
+    m_sentAt = monotonicNow();
+    m_headSeen = false;
+    const Instant deadline = std::min(m_startedAt + m_plan.timeLeft, m_sentAt + ConnectTimeout);
+    bool connected = false;
+    try {
+        m_exchange = co_await m_loop.pool().open(m_target.route->target->endpoint, nonIdempotent(),
+                                                 deadline);
+        connected = true;
+    } catch (const Error &error) {
+        m_message = error.what();
+    }
+    if (!connected)
+        co_return endAttempt(RequestEventKind::ConnectFailed);
+    if (*m_callerGone)
+        co_return apply(RequestEventKind::CallerGone);
+    const auto sending = apply(RequestEventKind::Connected);
+    if (!sending.send)
+        co_return sending;
+    co_return co_await exchange();
+}
+
+asio::awaitable<RequestActions> RequestDriver::exchange()
+{
+    std::optional<Error> fault;
+    try {
+        co_await sendRequest();
+        co_return co_await passAnswer();
+    } catch (const Error &error) {
+        fault = error;
+    }
+    co_return failed(*fault);
+}
+
+// A kept connection whose other end has forgotten it stays silent for good, so silence on one is
+// bounded by what the target usually takes.
+Instant RequestDriver::stepDeadline() const
+{
+    const Instant deadline = m_startedAt + m_plan.timeLeft;
+    if (m_headSeen || !m_exchange->reused())
+        return deadline;
+    const Duration usual = m_target.route->state->serviceTime() + m_target.route->roundTrip;
+    return std::min(deadline, m_sentAt + std::max(SilenceFactor * usual, MinSilence));
+}
+
+HttpRequestHead RequestDriver::forwardedHead() const
+{
+    HttpRequestHead head = m_caller.head();
+    std::erase_if(head.headers, [&head](const HttpHeader &header) {
+        return isOwnHeader(header.name) || isHopByHop(head.headers, header.name)
+            || equalsIgnoreCase(header.name, "Expect");
+    });
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_startedAt + m_plan.timeLeft - monotonicNow());
+    head.headers.push_back(
+        { std::string(TimeoutHeader), std::to_string(std::max<std::int64_t>(left.count(), 1)) });
+    head.headers.push_back({ "X-Forwarded-For", m_caller.peerAddress() });
+    return head;
+}
+
+asio::awaitable<void> RequestDriver::sendRequest()
+{
+    const Instant deadline = m_startedAt + m_plan.timeLeft;
+    const HttpRequestHead head = forwardedHead();
+    co_await m_exchange->sendHead(head, deadline);
+    if (!head.hasBody())
+        co_return;
+    co_await m_exchange->sendBody(m_body, deadline);
+    if (!m_bodyWhole)
+        co_await streamRest();
+    co_await m_exchange->finishRequest(deadline);
+}
+
+asio::awaitable<void> RequestDriver::streamRest()
+{
+    std::array<std::uint8_t, ChunkBytes> chunk;
+    while (const std::size_t n = co_await m_caller.readBody(chunk))
+        co_await m_exchange->sendBody(std::span(chunk).first(n), m_startedAt + m_plan.timeLeft);
+}
+
+HttpAnswerHead RequestDriver::answerHead(const HttpAnswerHead &head) const
+{
+    HttpAnswerHead passed = head;
+    std::erase_if(passed.headers, [&head](const HttpHeader &header) {
+        return isOwnHeader(header.name) || isHopByHop(head.headers, header.name)
+            || equalsIgnoreCase(header.name, TargetStateHeader);
+    });
+    passed.headers.push_back({ std::string(ResultHeader), "0 ok" });
+    passed.headers.push_back(
+        { std::string(VerdictHeader), std::string(verdictName(Verdict::Done)) });
+    return passed;
+}
+
+asio::awaitable<RequestActions> RequestDriver::passAnswer()
+{
+    const HttpAnswerHead head = co_await m_exchange->readHead(stepDeadline());
+    m_headSeen = true;
+    if (const auto *state = findHeader(head.headers, TargetStateHeader)) {
+        const auto stamp = static_cast<std::uint64_t>(m_sentAt.time_since_epoch().count());
+        m_context.board->observeLeaving(m_target.route->state->number(), EvidenceSource::Target,
+                                        stamp, *state == "leaving");
+    }
+    if (saysNotExecuted(head)) {
+        m_message = "the target refused the request";
+        co_return endAttempt(RequestEventKind::TargetRefused);
+    }
+    (void)apply(RequestEventKind::AnswerHeadReceived);
+    keep(head);
+    if (!*m_callerGone && apply(RequestEventKind::AnswerPassing).passHead)
+        co_await m_caller.startAnswer(answerHead(head));
+    std::array<std::uint8_t, ChunkBytes> chunk;
+    while (const std::size_t n = co_await m_exchange->readBody(chunk, stepDeadline())) {
+        const auto bytes = std::span(chunk).first(n);
+        keep(bytes);
+        if (apply(RequestEventKind::BodyChunk).passBody)
+            co_await m_caller.writeBody(bytes);
+    }
+    co_return answerEnded();
+}
+
+RequestActions RequestDriver::answerEnded()
+{
+    observe(m_kept.status >= 500 ? TargetOutcome::Overloaded : TargetOutcome::Success);
+    const auto actions = apply(RequestEventKind::AnswerEnded);
+    endExchange(true);
+    return actions;
+}
+
+RequestActions RequestDriver::failed(const Error &error)
+{
+    m_message = error.what();
+    const bool late = monotonicNow() >= m_startedAt + m_plan.timeLeft;
+    switch (error.code()) {
+    case ResultCode::PeerSilent:
+        if (late) {
+            observe(TargetOutcome::TimedOut);
+            return apply(RequestEventKind::DeadlinePassed);
+        }
+        m_loop.pool().retire(m_target.route->target->endpoint);
+        return endAttempt(RequestEventKind::TargetSilent);
+    case ResultCode::TargetAnswerTruncated:
+        return endAttempt(RequestEventKind::AnswerCut);
+    case ResultCode::CallerCancelled:
+        *m_callerGone = true;
+        return apply(RequestEventKind::CallerGone);
+    case ResultCode::TargetConnectionLost:
+        return endAttempt(RequestEventKind::ConnectionReset);
+    default:
+        // The caller's body could not be read to its end; the target saw only a part of it.
+        return apply(RequestEventKind::CallerGone);
+    }
+}
+
+void RequestDriver::observe(TargetOutcome outcome)
+{
+    if (m_target.route == nullptr)
+        return;
+    m_context.board->observe(
+        { m_target.route->state->number(), outcome, m_sentAt, monotonicNow() });
+}
+
+void RequestDriver::endExchange(bool reusable)
+{
+    if (m_exchange && reusable)
+        m_loop.pool().giveBack(std::move(m_exchange));
+    m_exchange.reset();
+    m_target = {};
+    m_loop.serveQueues();
+}
+
+void RequestDriver::keep(const HttpAnswerHead &head)
+{
+    m_kept = {};
+    m_kept.status = head.status;
+    if (!nonIdempotent())
+        return;
+    for (const auto &[name, value] : head.headers) {
+        if (!isHopByHop(head.headers, name) && !equalsIgnoreCase(name, "Content-Length"))
+            m_kept.headers.emplace_back(name, value);
+    }
+}
+
+void RequestDriver::keep(std::span<const std::uint8_t> bytes)
+{
+    if (!nonIdempotent() || !m_kept.complete)
+        return;
+    if (m_kept.body.size() + bytes.size() > MaxKeptBytes) {
+        m_kept.complete = false;
+        m_kept.body.clear();
+        return;
+    }
+    m_kept.body.insert(m_kept.body.end(), bytes.begin(), bytes.end());
+}
+
+void RequestDriver::watchCaller()
+{
+    m_caller.watchCaller([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerGone();
+    });
+}
+
+void RequestDriver::callerGone()
+{
+    *m_callerGone = true;
+    // The result of a claimed request is worth waiting for: a resend gets it.
+    if (m_exchange && !nonIdempotent())
+        m_exchange->cancel();
+}
+
+void RequestDriver::settleClaim(const RequestActions &actions)
+{
+    if (actions.releaseClaim)
+        m_context.control->releaseClaim(m_claimGroup, { m_key, m_claim });
+    if (actions.completeClaim)
+        m_context.control->completeClaim(m_claimGroup, { m_key, m_claim, m_kept });
+}
+
+asio::awaitable<void> RequestDriver::conclude(RequestActions actions)
+{
+    settleClaim(actions);
+    if (actions.cancelTarget)
+        endExchange(false);
+    if (actions.readLateAnswer)
+        asio::co_spawn(
+            m_loop.context(), [self = shared_from_this()] { return self->readLate(); },
+            asio::detached);
+    if (actions.endAnswer)
+        co_await m_caller.finishAnswer();
+    if (actions.replay)
+        co_await replay();
+    if (actions.answer)
+        co_await m_caller.answer(systemAnswer(*actions.answer, m_message));
+    if (actions.cutCaller || *m_callerGone)
+        m_caller.abort();
+}
+
+asio::awaitable<void> RequestDriver::readLate()
+{
+    const Instant deadline = m_startedAt + m_plan.timeLeft + LateAnswerTime;
+    try {
+        if (!m_headSeen)
+            keep(co_await m_exchange->readHead(deadline));
+        std::array<std::uint8_t, ChunkBytes> chunk;
+        while (const std::size_t n = co_await m_exchange->readBody(chunk, deadline))
+            keep(std::span(chunk).first(n));
+        settleClaim(apply(RequestEventKind::AnswerEnded));
+    } catch (const Error &error) {
+        LOG(INFO) << "entry: late answer is lost: " << error.what();
+    }
+    endExchange(false);
+}
+
+asio::awaitable<void> RequestDriver::replay()
+{
+    HttpAnswerHead head;
+    head.status = m_kept.status;
+    for (const auto &[name, value] : m_kept.headers)
+        head.headers.push_back({ name, value });
+    head.contentLength = m_kept.body.size();
+    head.noBody = head.status == 204 || head.status == 304;
+    co_await m_caller.startAnswer(answerHead(head));
+    co_await m_caller.writeBody(m_kept.body);
+    co_await m_caller.finishAnswer();
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/entry/request_driver.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <ggv/coordination/entry/claim_waiter.hpp>
+#include <ggv/coordination/entry/entry_context.hpp>
+#include <ggv/coordination/entry/entry_loop.hpp>
+#include <ggv/coordination/entry/request_plan.hpp>
+#include <ggv/state/request/request_outcome.hpp>
+#include <ggv/transport/http/http_server.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace ggv {
+
+/**
+ * @brief Does the input and output of one forwarded request; RequestOutcome decides.
+ */
+class RequestDriver : public std::enable_shared_from_this<RequestDriver>
+{
+public:
+    /**
+     * @brief Prepares a request whose head has arrived.
+     * @param context Shared by all requests; outlives them.
+     * @param loop Loop of the caller's connection.
+     * @param view The register in force.
+     * @param caller The request; used until run() returns.
+     */
+    RequestDriver(EntryContext &context, EntryLoop &loop, std::shared_ptr<const EntryView> view,
+                  ServerExchange &caller);
+
+    //! Serves the request; exactly one final answer or cut has been given when it returns.
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+private:
+    [[nodiscard]] RequestActions apply(RequestEvent event);
+    [[nodiscard]] RequestActions apply(RequestEventKind kind);
+    [[nodiscard]] RequestActions refuse(ResultCode code, std::string message);
+    [[nodiscard]] RequestActions endAttempt(RequestEventKind kind);
+    [[nodiscard]] RetryPermit retryPermit();
+
+    [[nodiscard]] boost::asio::awaitable<RequestActions> receive();
+    [[nodiscard]] boost::asio::awaitable<void> bufferBody();
+    [[nodiscard]] boost::asio::awaitable<RequestActions> claim();
+    [[nodiscard]] boost::asio::awaitable<RequestActions> attempt();
+    [[nodiscard]] boost::asio::awaitable<RequestActions> exchange();
+    [[nodiscard]] boost::asio::awaitable<void> sendRequest();
+    [[nodiscard]] boost::asio::awaitable<void> streamRest();
+    [[nodiscard]] boost::asio::awaitable<RequestActions> passAnswer();
+    [[nodiscard]] RequestActions answerEnded();
+    [[nodiscard]] RequestActions failed(const Error &error);
+    [[nodiscard]] boost::asio::awaitable<void> conclude(RequestActions actions);
+    [[nodiscard]] boost::asio::awaitable<void> readLate();
+    [[nodiscard]] boost::asio::awaitable<void> replay();
+
+    void watchCaller();
+    void callerGone();
+    void settleClaim(const RequestActions &actions);
+    void keep(const HttpAnswerHead &head);
+    void keep(std::span<const std::uint8_t> bytes);
+    void observe(TargetOutcome outcome);
+    void endExchange(bool reusable);
+    [[nodiscard]] HttpRequestHead forwardedHead() const;
+    [[nodiscard]] HttpAnswerHead answerHead(const HttpAnswerHead &head) const;
+    [[nodiscard]] ClaimRequest claimRequest() const;
+    [[nodiscard]] Instant stepDeadline() const;
+    [[nodiscard]] bool nonIdempotent() const noexcept;
+
+    EntryContext &m_context;
+    EntryLoop &m_loop;
+    std::shared_ptr<const EntryView> m_view;
+    ServerExchange &m_caller;
+    Instant m_startedAt;
+    RequestPlan m_plan;
+    RequestOutcome m_outcome;
+    std::string m_message; //!< For the final answer.
+    double m_overload = 0.0; //!< See RequestMoment.
+
+    Bytes m_body; //!< What is buffered of the request's body.
+    bool m_bodyWhole = false; //!< Nothing of the body is left to read.
+
+    std::string m_claimGroup;
+    std::uint64_t m_seenPosition = 0;
+    ClaimId m_claim;
+    KeyDigest m_key;
+    KeptAnswer m_kept;
+
+    std::set<std::uint32_t> m_tried;
+    ChosenTarget m_target;
+    std::unique_ptr<ClientExchange> m_exchange;
+    Instant m_sentAt {};
+    bool m_headSeen = false; //!< The target's answer has begun.
+    std::shared_ptr<bool> m_callerGone = std::make_shared<bool>(false);
+};
+
+} // namespace ggv
