Let a voter campaign until its removal is known to be committed

A leader that appended its own removal and lost the leadership before the commit held the longest log, but did not campaign; with one more voter gone nobody else could win.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -84,6 +84,12 @@
     return selfIsVoter() || detail::isLearner(members(), m_self);
 }
 
+// A voter whose removal is not known to be committed may hold the only log that can win.
+bool Raft::Implementation::mayCampaign() const noexcept
+{
+    return selfIsVoter() || detail::isVoter(m_members.at(m_commitIndex), m_self);
+}
+
 void Raft::Implementation::advanceClock(Instant now) noexcept { m_now = std::max(m_now, now); }
 
 void Raft::Implementation::send(MemberId to, RaftBody body)
@@ -117,7 +123,7 @@
     if (isLeader()) {
         checkQuorum();
         m_heartbeatDue = m_heartbeatDue || m_now >= m_heartbeatDeadline;
-    } else if (selfIsVoter() && m_now >= m_electionDeadline) {
+    } else if (mayCampaign() && m_now >= m_electionDeadline) {
         startPreVote();
     }
 }
@@ -179,12 +185,12 @@
 {
     if (isLeader())
         return m_heartbeatDeadline;
-    return selfIsVoter() ? m_electionDeadline : Instant::max();
+    return mayCampaign() ? m_electionDeadline : Instant::max();
 }
 
 RaftStatus Raft::Implementation::status() const
 {
-    const bool isPassive = m_role == RaftRole::Follower && !selfIsVoter();
+    const bool isPassive = m_role == RaftRole::Follower && !mayCampaign();
     RaftStatus status;
     status.role = isPassive ? RaftRole::Learner : m_role;
     status.term = m_hardState.term;
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -7,7 +7,7 @@
 
 void Raft::Implementation::handle(MemberId from, const VoteRequest &request)
 {
-    if (!isMember())
+    if (!isMember() && !mayCampaign())
         return;
     if (request.preVote)
         answerPreVote(from, request);
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -58,6 +58,7 @@
     [[nodiscard]] const Membership &members() const noexcept { return m_members.current(); }
     [[nodiscard]] bool selfIsVoter() const noexcept;
     [[nodiscard]] bool isMember() const noexcept;
+    [[nodiscard]] bool mayCampaign() const noexcept;
     void advanceClock(Instant now) noexcept;
     void send(MemberId to, RaftBody body);
     void complete(Ticket ticket, ResultCode code, Bytes answer = {});
