--- /dev/null
+++ b/packages/protocol/test/codec/claim_codec_test.cpp
@@ -0,0 +1,112 @@
+#include <ggv/protocol/codec/claim_codec.hpp>
+#include <ggv/state/core/error.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace {
+
+using namespace ggv;
+
+rc::Gen<KeptAnswer> answers()
+{
+    return rc::gen::build<KeptAnswer>(
+        rc::gen::set(&KeptAnswer::status), rc::gen::set(&KeptAnswer::headers),
+        rc::gen::set(&KeptAnswer::body), rc::gen::set(&KeptAnswer::complete));
+}
+
+KeyDigest key()
+{
+    return { *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>() };
+}
+
+ClaimId claimId()
+{
+    return { *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>() };
+}
+
+ClaimCommand command()
+{
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0: {
+        const auto fingerprint = *rc::gen::arbitrary<std::uint64_t>();
+        const auto keyTime = *rc::gen::arbitrary<UnixMillis>();
+        return ClaimRequest { key(), claimId(), fingerprint, keyTime, fingerprint / 2 };
+    }
+    case 1:
+        return ClaimCompletion { key(), claimId(), *answers() };
+    case 2:
+        return ClaimRelease { key(), claimId() };
+    default:
+        return ClaimProbe {};
+    }
+}
+
+ClaimReply reply()
+{
+    const auto position = *rc::gen::arbitrary<std::uint64_t>();
+    if (*rc::gen::arbitrary<bool>())
+        return { position, ClaimSettlement { *rc::gen::arbitrary<bool>() } };
+    const auto decision = static_cast<ClaimDecision>(*rc::gen::inRange(0, 7));
+    if (*rc::gen::arbitrary<bool>())
+        return { position, ClaimOutcome { decision, {} } };
+    return { position, ClaimOutcome { decision, *answers() } };
+}
+
+class ClaimCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClaimCodecTest);
+    CPPUNIT_TEST(messagesComeBackAsSent);
+    CPPUNIT_TEST(badBytesAreViolations);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void messagesComeBackAsSent()
+    {
+        CPPUNIT_ASSERT(rc::check("decode is the inverse of encode", [] {
+            const ClaimLogEntry entry { *rc::gen::arbitrary<UnixMillis>(), command() };
+            RC_ASSERT(decodeClaimLogEntry(encodeClaimLogEntry(entry)) == entry);
+            const ClaimCall call { { 1, 2 }, command() };
+            RC_ASSERT(decodeClaimCall(encodeClaimCall(call)) == call);
+            const auto answered = reply();
+            RC_ASSERT(decodeClaimReply(encodeClaimReply(answered)) == answered);
+            const ClaimCallAnswer answer { { 3, 4 }, ResultCode::NotLeader, 5, answered };
+            RC_ASSERT(decodeClaimCallAnswer(encodeClaimCallAnswer(answer)) == answer);
+        }));
+    }
+
+    void badBytesAreViolations()
+    {
+        CPPUNIT_ASSERT(rc::check("cut or changed bytes are refused or decode to a message", [] {
+            auto bytes = encodeClaimCall({ { 1, 2 }, command() });
+            const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            auto cut = bytes;
+            cut.resize(at);
+            RC_ASSERT(isViolation(cut));
+            auto longer = bytes;
+            longer.push_back(0);
+            RC_ASSERT(isViolation(longer));
+            bytes[at] = *rc::gen::arbitrary<std::uint8_t>();
+            (void)isViolation(bytes); // Throws any other error out of the property.
+            (void)isViolation(*rc::gen::arbitrary<Bytes>());
+        }));
+    }
+
+private:
+    static bool isViolation(const Bytes &bytes)
+    {
+        try {
+            (void)decodeClaimCall(bytes);
+        } catch (const Error &error) {
+            RC_ASSERT(error.code() == ResultCode::ProtocolViolation);
+            return true;
+        }
+        return false;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimCodecTest);
+
+} // namespace
--- a/packages/state/ggv/state/claim/key_store.cpp
+++ b/packages/state/ggv/state/claim/key_store.cpp
@@ -139,7 +139,9 @@
         if ((static_cast<UnixMillis>(bucket->first) + 1) * MillisPerMinute > time)
             return;
         for (const auto &key : bucket->second) {
-            if (auto *const slot = m_slots.find(key))
+            // The key may have been forgotten and added again without its time.
+            auto *const slot = m_slots.find(key);
+            if (slot != nullptr && slot->keyMinute == bucket->first)
                 erase(*slot);
         }
         m_byMinute.erase(bucket);
--- a/packages/state/ggv/state/request/request_outcome.cpp
+++ b/packages/state/ggv/state/request/request_outcome.cpp
@@ -250,7 +250,7 @@
 void RequestTransitions::targetRefused()
 {
     if (ended()) {
-        actions.releaseClaim = request.m_readsLate;
+        actions.releaseClaim = request.m_readsLate && !request.m_passing;
         request.m_readsLate = false;
         return;
     }
