--- a/packages/protocol/ggv/protocol/codec/claim_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/claim_codec.cpp
@@ -14,6 +14,10 @@
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
+// Bounds against bytes that announce more than they hold.
+constexpr std::size_t MaxArrayElements = 10'000;
+constexpr std::size_t MaxDepth = 16;
+
 // Alternatives on the wire; numbers are never reused.
 enum class WireKind : std::uint8_t {
     Request = 1,
@@ -298,7 +302,9 @@
     try {
         std::size_t offset = 0;
         const auto *const data = reinterpret_cast<const char *>(bytes.data());
-        const auto handle = msgpack::unpack(data, bytes.size(), offset);
+        const msgpack::unpack_limit limit(MaxArrayElements, 0, bytes.size(), bytes.size(), 0,
+                                          MaxDepth);
+        const auto handle = msgpack::unpack(data, bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size())
             fail("trailing bytes");
         return read(handle.get());
--- a/packages/protocol/test/codec/claim_codec_test.cpp
+++ b/packages/protocol/test/codec/claim_codec_test.cpp
@@ -79,6 +79,8 @@
 
     void badBytesAreViolations()
     {
+        CPPUNIT_ASSERT(isViolation({ 0xdd, 0xff, 0xff, 0xff, 0xff })); // 2^32 - 1 elements.
+        CPPUNIT_ASSERT(isViolation(Bytes(100'000, 0x91))); // Arrays within arrays.
         CPPUNIT_ASSERT(rc::check("cut or changed bytes are refused or decode to a message", [] {
             auto bytes = encodeClaimCall({ { 1, 2 }, command() });
             const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -100,7 +102,7 @@
         try {
             (void)decodeClaimCall(bytes);
         } catch (const Error &error) {
-            RC_ASSERT(error.code() == ResultCode::ProtocolViolation);
+            CPPUNIT_ASSERT(error.code() == ResultCode::ProtocolViolation);
             return true;
         }
         return false;
