Compare recent latency with a symmetric slow mean

Cause of about 50 % shed with the adaptive limit at 70 % load: the usual latency fell with weight 0.1 and rose with 0.005, so that it followed a low percentile of the log-normal service times, and the recent mean passed twice that value all the time. The usual latency is now a plain slow mean (weight 0.01).

--- a/packages/state/ggv/state/admission/adaptive_limit.cpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.cpp
@@ -73,9 +73,8 @@
         m_usualLatency = latency;
         return;
     }
-    const double step = latency < m_usualLatency ? m_policy.usualFallStep : m_policy.usualRiseStep;
     m_recentLatency += m_policy.recentStep * (latency - m_recentLatency);
-    m_usualLatency += step * (latency - m_usualLatency);
+    m_usualLatency += m_policy.usualStep * (latency - m_usualLatency);
 }
 
 void AdaptiveLimit::grow(Instant now) noexcept
--- a/packages/state/ggv/state/admission/adaptive_limit.hpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.hpp
@@ -17,8 +17,7 @@
     double growthPerSecond = 0.1; //!< Share regained per second of successes.
     double latencyTolerance = 2.0; //!< Ratio of recent to usual latency that is not overload.
     double recentStep = 0.1; //!< Weight of the newest latency in the recent one.
-    double usualFallStep = 0.1; //!< Weight of a lower latency in the usual one.
-    double usualRiseStep = 0.005; //!< Weight of a higher latency in the usual one.
+    double usualStep = 0.01; //!< Weight of the newest latency in the usual one.
 
     [[nodiscard]] auto operator<=>(const AdaptiveLimitPolicy &) const noexcept = default;
 };
