Start both latency means as plain means

The first latency alone set both means; an unusually low one made every later one look like overload.

--- a/packages/state/ggv/state/admission/adaptive_limit.cpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.cpp
@@ -48,6 +48,7 @@
 void AdaptiveLimit::reset() noexcept
 {
     m_share = m_policy.coldShare;
+    m_samples = 0;
     m_recentLatency = 0.0;
     m_usualLatency = 0.0;
 }
@@ -68,13 +69,11 @@
 
 void AdaptiveLimit::observeLatency(double latency) noexcept
 {
-    if (m_recentLatency <= 0.0) {
-        m_recentLatency = latency;
-        m_usualLatency = latency;
-        return;
-    }
-    m_recentLatency += m_policy.recentStep * (latency - m_recentLatency);
-    m_usualLatency += m_policy.usualStep * (latency - m_usualLatency);
+    m_samples += m_samples < UINT32_MAX ? 1 : 0;
+    // Plain means of the first samples, so that one unusual latency does not set the scale.
+    const double firstStep = 1.0 / m_samples;
+    m_recentLatency += std::max(m_policy.recentStep, firstStep) * (latency - m_recentLatency);
+    m_usualLatency += std::max(m_policy.usualStep, firstStep) * (latency - m_usualLatency);
 }
 
 void AdaptiveLimit::grow(Instant now) noexcept
--- a/packages/state/ggv/state/admission/adaptive_limit.hpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.hpp
@@ -84,6 +84,7 @@
     double m_share;
     double m_recentLatency = 0.0; //!< In microseconds; 0 before the first success.
     double m_usualLatency = 0.0; //!< In microseconds; 0 before the first success.
+    std::uint32_t m_samples = 0;
     std::uint32_t m_reportedSlots = UINT32_MAX;
     Instant m_grownAt {};
     Instant m_droppedAt = Instant::min();
