--- a/packages/state/test/admission/adaptive_limit_test.cpp
+++ b/packages/state/test/admission/adaptive_limit_test.cpp
@@ -71,7 +71,7 @@
     {
         auto limit = AdaptiveLimit::warm();
         Instant now {};
-        succeed(limit, Usual, 10, now);
+        succeed(limit, Usual, 100, now);
         succeed(limit, 6 * Usual, 20, now);
         CPPUNIT_ASSERT(limit.limit(Leased) < Leased / 2);
     }
