--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -2,6 +2,8 @@
 
 add_library(ggv_options INTERFACE)
 target_compile_options(ggv_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
+# g++ 12 takes the frame of an inlined coroutine for memory of another allocator.
+target_compile_options(ggv_options INTERFACE -Wno-mismatched-new-delete)
 target_link_libraries(ggv_options INTERFACE Threads::Threads)
 
 # ggv_package(<layer> <libraries>...): a static library from all sources under ggv/<layer>.
@@ -41,3 +43,12 @@
   target_link_libraries(ggv_${layer}_bench PRIVATE ggv_${layer} ${ARGN} benchmark::benchmark_main
                         ggv_options)
 endfunction()
+
+# ggv_test_program(<name> <source> <libraries>...): a stand-in or load program used by tests only.
+function(ggv_test_program name source)
+  if(NOT GGV_BUILD_TESTS)
+    return()
+  endif()
+  add_executable(${name} ${source})
+  target_link_libraries(${name} PRIVATE ${ARGN} PkgConfig::POPT ggv_options)
+endfunction()
--- a/packages/coordination/ggv/coordination/entry/entry_context.hpp
+++ b/packages/coordination/ggv/coordination/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <ggv/coordination/entry/entry_view.hpp>
 #include <ggv/coordination/entry/target_board.hpp>
 #include <ggv/state/core/rcu_cell.hpp>
+#include <ggv/state/steering/lookup_table.hpp>
 
 #include <atomic>
 #include <memory>
@@ -15,6 +16,8 @@
 {
     //! Null until a register is in force.
     RcuCell<EntryView> view { nullptr };
+    //! Null until a register is in force.
+    RcuCell<LookupTable> lookups { nullptr };
     ControlPlane *control = nullptr;
     TargetBoard *board = nullptr;
     std::atomic<bool> leaving = false;
--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -452,8 +452,15 @@
 {
     const Instant deadline = m_startedAt + m_plan.timeLeft + LateAnswerTime;
     try {
-        if (!m_headSeen)
-            keep(co_await m_exchange->readHead(deadline));
+        if (!m_headSeen) {
+            const HttpAnswerHead head = co_await m_exchange->readHead(deadline);
+            if (saysNotExecuted(head)) {
+                settleClaim(apply(RequestEventKind::TargetRefused));
+                endExchange(false);
+                co_return;
+            }
+            keep(head);
+        }
         std::array<std::uint8_t, ChunkBytes> chunk;
         while (const std::size_t n = co_await m_exchange->readBody(chunk, deadline))
             keep(std::span(chunk).first(n));
--- /dev/null
+++ b/packages/coordination/ggv/coordination/node/node.cpp
@@ -0,0 +1,220 @@
+#include <ggv/coordination/node/node.hpp>
+
+#include <ggv/coordination/entry/entry_service.hpp>
+#include <ggv/coordination/operators/operator_api.hpp>
+#include <ggv/state/model/register_toml.hpp>
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <glog/logging.h>
+
+namespace ggv {
+
+namespace {
+
+constexpr auto BoardInterval = std::chrono::milliseconds(10);
+constexpr Duration LookupInterval = std::chrono::seconds(1); //!< Drains change with time.
+//! Until every entry host has left this one out of its look-ups.
+constexpr Duration AnnounceTime = std::chrono::milliseconds(2500);
+//! Without a request for this long, a shutdown is finished.
+constexpr Duration QuietTime = std::chrono::milliseconds(1000);
+
+std::shared_ptr<const Register> loadBootstrap(const std::string &path)
+{
+    const RegisterDocument document = parseRegisterToml(readTextFile(path));
+    std::string faults;
+    for (const auto &fault : document.faults)
+        faults += path + ":" + std::to_string(fault.line) + ":" + std::to_string(fault.column)
+            + ": " + fault.message + "\n";
+    if (!faults.empty())
+        throw Error(ResultCode::RegisterInvalid, faults);
+    return std::make_shared<const Register>(Register::create(0, document.content).value());
+}
+
+} // namespace
+
+class Node::Implementation
+{
+public:
+    explicit Implementation(NodeSetup setup)
+        : m_settings(std::move(setup.settings))
+        , m_workers(m_settings.threads)
+        , m_control(1)
+        , m_board(m_settings.domain)
+        , m_timer(m_control.context(0))
+    {
+        open(setup.initialize);
+    }
+
+    ~Implementation()
+    {
+        m_workers.stop();
+        m_control.stop();
+    }
+
+    void beginShutdown()
+    {
+        if (m_phase != ShutdownPhase::Serving)
+            return;
+        LOG(INFO) << "node: shutdown begins, leaving the look-ups";
+        m_phase = ShutdownPhase::WaitingForLookups;
+        m_shutdownAt = monotonicNow();
+        m_context.leaving = true;
+        m_plane->announceLeaving();
+        boost::asio::post(m_control.context(0), [this] { rebuildLookups(); });
+    }
+
+    ShutdownPhase continueShutdown()
+    {
+        const Instant now = monotonicNow();
+        if (m_phase == ShutdownPhase::WaitingForLookups
+            && now - m_shutdownAt > AnnounceTime + LookupLifetime) {
+            LOG(INFO) << "node: cached look-ups have expired, finishing requests";
+            m_phase = ShutdownPhase::FinishingRequests;
+            m_entry->closeAfterAnswers();
+            m_busyAt = now;
+        }
+        if (m_phase == ShutdownPhase::FinishingRequests)
+            finishRequests(now);
+        return m_phase;
+    }
+
+private:
+    void open(bool initialize)
+    {
+        const auto bootstrap = loadBootstrap(m_settings.bootstrapRegister);
+        checkOwnEntry(*bootstrap);
+        const auto process = static_cast<ProcessId>(wallClockNow()) * 1000;
+        m_plane
+            = ControlPlane::start(m_control.context(0),
+                                  { m_settings, bootstrap, initialize, process, monotonicNow() },
+                                  controlHandlers())
+                  .value();
+        m_context.control = m_plane.get();
+        m_context.board = &m_board;
+        m_entry = std::make_unique<EntryService>(m_workers, m_context);
+        m_entry->listen(m_settings.callers, {});
+        m_operators = std::make_unique<OperatorApi>(m_workers, m_settings, *m_plane, m_context);
+        m_operators->listen(m_settings.operators);
+        scheduleBoard();
+        m_control.start();
+        m_workers.start();
+    }
+
+    // The settings say where this process listens; the register tells everybody else.
+    void checkOwnEntry(const Register &bootstrap) const
+    {
+        const auto *host = bootstrap.host(m_settings.host);
+        if (host != nullptr && host->internal != m_settings.internal)
+            throw Error(ResultCode::SettingsInvalid,
+                        "internal address differs from the register's for host '"
+                            + m_settings.host.text() + "'");
+    }
+
+    ControlHandlers controlHandlers()
+    {
+        ControlHandlers handlers;
+        handlers.onRegister = [this](std::shared_ptr<const Register> content) {
+            m_register = std::move(content);
+            m_context.view.replace(m_board.buildView(m_register));
+            rebuildLookups();
+        };
+        handlers.onMembership = [this](const MembershipView &view) {
+            m_membership = view;
+            rebuildLookups();
+        };
+        handlers.demands = [this] { return m_board.takeDemands(monotonicNow()); };
+        handlers.applyBudgets = [this](const BudgetHolder &holder, Instant now) {
+            return m_board.applyBudgets(holder, now);
+        };
+        return handlers;
+    }
+
+    void rebuildLookups()
+    {
+        if (!m_register)
+            return;
+        LookupView view { {}, m_settings.domain, wallClockNow() };
+        for (const auto &exception : m_membership.exceptions) {
+            if (exception.state != HostState::Live)
+                view.unavailable.push_back(exception.host);
+        }
+        if (m_context.leaving)
+            view.unavailable.push_back(m_settings.host);
+        const auto previous = m_context.lookups.read();
+        m_context.lookups.replace(std::make_shared<const LookupTable>(
+            LookupTable::create(*m_register, view, previous.get())));
+        m_lookupsAt = monotonicNow();
+    }
+
+    void scheduleBoard()
+    {
+        m_timer.expires_after(BoardInterval);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (ec)
+                return;
+            const Instant now = monotonicNow();
+            m_board.refresh(now, wallClockNow());
+            const bool drains = m_register && !m_register->content().drains.empty();
+            if (drains && now - m_lookupsAt > LookupInterval)
+                rebuildLookups();
+            scheduleBoard();
+        });
+    }
+
+    void finishRequests(Instant now)
+    {
+        if (m_entry->activeRequests() > 0)
+            m_busyAt = now;
+        if (now - m_busyAt < QuietTime)
+            return;
+        LOG(INFO) << "node: all requests are finished";
+        m_entry->stopAccepting();
+        m_phase = ShutdownPhase::Finished;
+    }
+
+    Settings m_settings;
+    IoPool m_workers;
+    IoPool m_control;
+    TargetBoard m_board;
+    EntryContext m_context;
+    std::unique_ptr<ControlPlane> m_plane;
+    std::unique_ptr<EntryService> m_entry;
+    std::unique_ptr<OperatorApi> m_operators;
+    boost::asio::steady_timer m_timer;
+
+    // Used on the control loop.
+    std::shared_ptr<const Register> m_register;
+    MembershipView m_membership;
+    Instant m_lookupsAt {};
+
+    // Used by the thread that shuts down.
+    ShutdownPhase m_phase = ShutdownPhase::Serving;
+    Instant m_shutdownAt {};
+    Instant m_busyAt {};
+};
+
+Node::Node(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>> Node::start(NodeSetup setup)
+{
+    try {
+        auto implementation = std::make_unique<Implementation>(std::move(setup));
+        return std::unique_ptr<Node>(new Node(std::move(implementation)));
+    } catch (const Error &error) {
+        return error;
+    }
+}
+
+void Node::beginShutdown() { m_implementation->beginShutdown(); }
+
+ShutdownPhase Node::continueShutdown() { return m_implementation->continueShutdown(); }
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/test/programs/caller.cpp
@@ -0,0 +1,336 @@
+// Caller for demonstrations and process tests: looks a service up, sends requests to the entry
+// hosts of the answer, goes on to the next host when one fails, and counts how requests end.
+
+#include <ggv/coordination/entry/headers.hpp>
+#include <ggv/coordination/node/settings.hpp>
+#include <ggv/state/core/random_source.hpp>
+#include <ggv/transport/http/http_client.hpp>
+#include <ggv/transport/net/shared_secret.hpp>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+namespace asio = boost::asio;
+using ggv::Duration;
+using ggv::Endpoint;
+using ggv::Instant;
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration StepTimeout = std::chrono::seconds(5);
+constexpr std::size_t ChunkBytes = 16 * 1024;
+
+//! What the command line asks for.
+struct Arguments
+{
+    std::vector<Endpoint> entries; //!< Asked for look-ups, one after the other.
+    std::string service;
+    std::string client;
+    std::string path = "/";
+    bool post = false;
+    int requests = 1;
+    int concurrency = 1;
+    int rate = 0; //!< Requests a second, over all workers; 0: as fast as answers come.
+    int timeoutMs = 2000;
+    int attempts = 4;
+};
+
+//! An answer read whole.
+struct Answer
+{
+    int status = 0;
+    std::string result;
+    std::string verdict;
+    std::string target;
+    std::string body;
+};
+
+class Caller
+{
+public:
+    Caller(asio::io_context &context, Arguments arguments)
+        : m_context(context)
+        , m_arguments(std::move(arguments))
+        , m_pool(context, 16, std::chrono::seconds(30))
+        , m_random(ggv::randomNumber())
+        , m_startedAt(ggv::monotonicNow())
+    { }
+
+    asio::awaitable<void> work()
+    {
+        while (m_next < m_arguments.requests) {
+            const int number = m_next++;
+            if (m_arguments.rate > 0)
+                co_await pace(number);
+            co_await request();
+        }
+    }
+
+    json report() const
+    {
+        std::vector<double> sorted = m_latencies;
+        std::sort(sorted.begin(), sorted.end());
+        const auto quantile = [&sorted](double q) {
+            if (sorted.empty())
+                return 0.0;
+            const auto n = static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1));
+            return sorted[n];
+        };
+        return { { "verdicts", m_verdicts },
+                 { "results", m_results },
+                 { "targets", m_targets },
+                 { "hosts", m_hosts },
+                 { "retried", m_retried },
+                 { "p50_ms", quantile(0.5) },
+                 { "p99_ms", quantile(0.99) },
+                 { "last_body", m_lastBody },
+                 { "seconds",
+                   std::chrono::duration<double>(ggv::monotonicNow() - m_startedAt).count() } };
+    }
+
+private:
+    asio::awaitable<void> pace(int number)
+    {
+        const auto offset = std::chrono::microseconds(1'000'000LL * number / m_arguments.rate);
+        const Instant due = m_startedAt + offset;
+        asio::steady_timer timer(m_context);
+        timer.expires_at(std::chrono::steady_clock::time_point(due.time_since_epoch()));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<Answer> send(const Endpoint &endpoint, ggv::HttpRequestHead head,
+                                 std::string body, bool fresh)
+    {
+        const Instant deadline = ggv::monotonicNow() + StepTimeout;
+        if (!body.empty())
+            head.contentLength = body.size();
+        head.headers.push_back({ "Host", m_arguments.service });
+        auto exchange = co_await m_pool.open(endpoint, fresh, deadline);
+        co_await exchange->sendHead(head, deadline);
+        const std::vector<std::uint8_t> bytes(body.begin(), body.end());
+        co_await exchange->sendBody(bytes, deadline);
+        co_await exchange->finishRequest(deadline);
+        const auto answered = co_await exchange->readHead(deadline);
+        Answer answer;
+        answer.status = answered.status;
+        answer.result = headerOf(answered, ggv::ResultHeader);
+        answer.verdict = headerOf(answered, ggv::VerdictHeader);
+        answer.target = headerOf(answered, "Ggv-Target");
+        std::array<std::uint8_t, ChunkBytes> chunk;
+        while (const std::size_t n = co_await exchange->readBody(chunk, deadline))
+            answer.body.append(chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(n));
+        m_pool.giveBack(std::move(exchange));
+        co_return answer;
+    }
+
+    static std::string headerOf(const ggv::HttpAnswerHead &head, std::string_view name)
+    {
+        const auto *value = ggv::findHeader(head.headers, name);
+        return value == nullptr ? "" : *value;
+    }
+
+    // Asks each known entry host until one answers; keeps the answer for its lifetime.
+    asio::awaitable<void> lookUp()
+    {
+        if (!m_found.empty() && ggv::monotonicNow() < m_foundUntil)
+            co_return;
+        std::string target
+            = std::string(ggv::OwnPathPrefix) + "lookup?service=" + m_arguments.service;
+        if (!m_arguments.client.empty())
+            target += "&client=" + m_arguments.client;
+        for (const auto &entry : m_arguments.entries) {
+            std::string failure;
+            try {
+                const Answer answer
+                    = co_await send(entry, { "GET", target, {}, {}, false }, "", false);
+                if (answer.status == 200) {
+                    take(json::parse(answer.body));
+                    co_return;
+                }
+            } catch (const ggv::Error &error) {
+                failure = error.what();
+            }
+        }
+    }
+
+    void take(const json &answer)
+    {
+        m_found.clear();
+        for (const auto &host : answer["hosts"])
+            m_found.push_back({ host["host"],
+                                ggv::parseEndpoint(host["address"].get<std::string>()),
+                                host["weight"] });
+        m_foundUntil
+            = ggv::monotonicNow() + std::chrono::milliseconds(answer["lifetime_ms"].get<int>());
+    }
+
+    // A host by weight first, then the others in their order.
+    std::size_t firstHost()
+    {
+        std::uint32_t total = 0;
+        for (const auto &it : m_found)
+            total += it.weight;
+        if (total == 0)
+            return 0;
+        auto point = static_cast<std::uint32_t>(m_random() % total);
+        for (std::size_t n = 0; n < m_found.size(); ++n) {
+            if (point < m_found[n].weight)
+                return n;
+            point -= m_found[n].weight;
+        }
+        return 0;
+    }
+
+    ggv::HttpRequestHead requestHead(const std::string &key) const
+    {
+        ggv::HttpRequestHead head;
+        head.method = m_arguments.post ? "POST" : "GET";
+        head.target = m_arguments.path;
+        head.headers.push_back(
+            { std::string(ggv::TimeoutHeader), std::to_string(m_arguments.timeoutMs) });
+        if (m_arguments.post)
+            head.headers.push_back({ std::string(ggv::IdempotencyKeyHeader), key });
+        return head;
+    }
+
+    asio::awaitable<void> request()
+    {
+        const Instant begun = ggv::monotonicNow();
+        const std::string key = "key-" + std::to_string(m_random());
+        std::string verdict = "unanswered";
+        for (int attempt = 0; attempt < m_arguments.attempts; ++attempt) {
+            co_await lookUp();
+            if (m_found.empty())
+                break;
+            const std::size_t n
+                = (firstHost() + static_cast<std::size_t>(attempt)) % m_found.size();
+            const auto host = m_found[n];
+            bool failed = false;
+            try {
+                const std::string body = m_arguments.post ? "order for " + key : "";
+                const Answer answer
+                    = co_await send(host.endpoint, requestHead(key), body, m_arguments.post);
+                verdict = answer.verdict;
+                ++m_results[answer.result];
+                ++m_hosts[host.name];
+                if (!answer.target.empty())
+                    ++m_targets[answer.target];
+                m_lastBody = answer.body;
+                failed = verdict != "done";
+            } catch (const ggv::Error &) {
+                failed = true;
+                verdict = "connection lost";
+                m_foundUntil = Instant::min();
+            }
+            if (!failed)
+                break;
+            ++m_retried;
+        }
+        ++m_verdicts[verdict];
+        m_latencies.push_back(
+            std::chrono::duration<double, std::milli>(ggv::monotonicNow() - begun).count());
+    }
+
+    //! An entry host of a look-up answer.
+    struct Found
+    {
+        std::string name;
+        Endpoint endpoint;
+        std::uint32_t weight = 0;
+    };
+
+    asio::io_context &m_context;
+    Arguments m_arguments;
+    ggv::HttpClientPool m_pool;
+    ggv::RandomSource m_random;
+    Instant m_startedAt;
+    std::vector<Found> m_found;
+    Instant m_foundUntil = Instant::min();
+    int m_next = 0;
+    std::uint64_t m_retried = 0;
+    std::map<std::string, std::uint64_t> m_verdicts;
+    std::map<std::string, std::uint64_t> m_results;
+    std::map<std::string, std::uint64_t> m_targets;
+    std::map<std::string, std::uint64_t> m_hosts;
+    std::vector<double> m_latencies;
+    std::string m_lastBody;
+};
+
+std::vector<Endpoint> parseEntries(const std::string &text)
+{
+    std::vector<Endpoint> entries;
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');)
+        entries.push_back(ggv::parseEndpoint(part));
+    return entries;
+}
+
+int run(Arguments arguments)
+{
+    asio::io_context context(1);
+    const int workers = std::max(arguments.concurrency, 1);
+    Caller caller(context, std::move(arguments));
+    for (int n = 0; n < workers; ++n)
+        asio::co_spawn(
+            context, [&caller] { return caller.work(); }, asio::detached);
+    context.run();
+    std::cout << caller.report().dump() << std::endl;
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    char *entries = nullptr;
+    char *service = nullptr;
+    char *client = nullptr;
+    char *path = nullptr;
+    int post = 0;
+    Arguments arguments;
+    const poptOption options[]
+        = { { "entries", 'e', POPT_ARG_STRING, &entries, 0, "Entry hosts", "ADDR:PORT,..." },
+            { "service", 's', POPT_ARG_STRING, &service, 0, "Service", "NAME" },
+            { "client", 'c', POPT_ARG_STRING, &client, 0, "Client address of the look-up", "IP" },
+            { "path", 'p', POPT_ARG_STRING, &path, 0, "Request target", "PATH" },
+            { "post", 0, POPT_ARG_NONE, &post, 0, "Send POST with an idempotency key", nullptr },
+            { "requests", 'n', POPT_ARG_INT, &arguments.requests, 0, "Requests", "N" },
+            { "concurrency", 'j', POPT_ARG_INT, &arguments.concurrency, 0, "Workers", "N" },
+            { "rate", 0, POPT_ARG_INT, &arguments.rate, 0, "Requests a second", "N" },
+            { "timeout-ms", 0, POPT_ARG_INT, &arguments.timeoutMs, 0, "Deadline", "MS" },
+            { "attempts", 0, POPT_ARG_INT, &arguments.attempts, 0, "Most attempts", "N" },
+            POPT_AUTOHELP POPT_TABLEEND };
+    poptContext context
+        = poptGetContext(nullptr, argc, const_cast<const char **>(argv), options, 0); // NOLINT
+    const bool valid = poptGetNextOpt(context) == -1 && entries != nullptr && service != nullptr;
+    poptFreeContext(context);
+    if (!valid) {
+        std::cerr << "usage: ggv_caller --entries ADDR:PORT,... --service NAME [options]\n";
+        return 2;
+    }
+    try {
+        arguments.entries = parseEntries(entries);
+        arguments.service = service;
+        arguments.client = client == nullptr ? "" : client;
+        arguments.path = path == nullptr ? "/" : path;
+        arguments.post = post != 0;
+        return run(std::move(arguments));
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n";
+        return 3;
+    }
+}
--- a/packages/greengagevalved/main.cpp
+++ b/packages/greengagevalved/main.cpp
@@ -1,9 +1,155 @@
+#include <ggv/coordination/node/node.hpp>
 #include <ggv/coordination/version.hpp>
 
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <string>
 
-int main()
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <glog/logging.h>
+#include <popt.h>
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitStart = 3;
+constexpr int ExitSecondSignal = 4;
+constexpr auto ShutdownPollInterval = std::chrono::milliseconds(50);
+
+//! What the command line asks for.
+struct Arguments
+{
+    std::string settingsPath;
+    bool initialize = false;
+    bool checkOnly = false;
+    bool showVersion = false;
+};
+
+// Returns false after printing what is wrong.
+bool parseArguments(int argc, const char **argv, Arguments &arguments)
+{
+    char *settings = nullptr;
+    int initialize = 0;
+    int check = 0;
+    int version = 0;
+    const poptOption options[]
+        = { { "settings", 's', POPT_ARG_STRING, &settings, 0, "Settings file", "FILE" },
+            { "initialize", 0, POPT_ARG_NONE, &initialize, 0,
+              "Create a new cluster: only for the very first start of its hosts", nullptr },
+            { "check", 0, POPT_ARG_NONE, &check, 0, "Check the settings and exit", nullptr },
+            { "version", 0, POPT_ARG_NONE, &version, 0, "Print the version and exit", nullptr },
+            POPT_AUTOHELP POPT_TABLEEND };
+    poptContext context = poptGetContext("greengagevalved", argc, argv, options, 0);
+    const int status = poptGetNextOpt(context);
+    const bool surplus = poptPeekArg(context) != nullptr;
+    if (status < -1)
+        std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << "\n";
+    else if (surplus)
+        std::cerr << "unexpected argument " << poptPeekArg(context) << "\n";
+    arguments = { settings == nullptr ? "" : settings, initialize != 0, check != 0, version != 0 };
+    poptFreeContext(context);
+    std::free(settings); // NOLINT: allocated by popt.
+    if (status < -1 || surplus)
+        return false;
+    if (arguments.settingsPath.empty() && !arguments.showVersion)
+        std::cerr << "--settings is missing\n";
+    return !arguments.settingsPath.empty() || arguments.showVersion;
+}
+
+//! Ends the process: gracefully at the first signal, at once at the second.
+class SignalGuard
 {
-    std::cout << "greengagevalved " << ggv::softwareVersion() << "\n";
+public:
+    SignalGuard(boost::asio::io_context &context, ggv::Node &node)
+        : m_context(context)
+        , m_signals(context, SIGINT, SIGTERM)
+        , m_timer(context)
+        , m_node(node)
+    {
+        await();
+    }
+
+private:
+    void await()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int) {
+            if (ec)
+                return;
+            if (m_leaving) {
+                LOG(ERROR) << "node: second signal, requests in flight are cut";
+                google::FlushLogFiles(google::INFO);
+                std::_Exit(ExitSecondSignal);
+            }
+            m_leaving = true;
+            m_node.beginShutdown();
+            poll();
+            await();
+        });
+    }
+
+    void poll()
+    {
+        if (m_node.continueShutdown() == ggv::ShutdownPhase::Finished) {
+            m_context.stop();
+            return;
+        }
+        m_timer.expires_after(ShutdownPollInterval);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (!ec)
+                poll();
+        });
+    }
+
+    boost::asio::io_context &m_context;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    ggv::Node &m_node;
+    bool m_leaving = false;
+};
+
+int serve(const Arguments &arguments)
+{
+    auto settings = ggv::loadSettings(arguments.settingsPath);
+    if (!settings) {
+        std::cerr << arguments.settingsPath << ":\n" << settings.error().what() << "\n";
+        return ExitUsage;
+    }
+    if (arguments.checkOnly) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    auto node = ggv::Node::start({ settings.value(), arguments.initialize });
+    if (!node) {
+        LOG(ERROR) << "node: cannot start: " << node.error().what();
+        return ExitStart;
+    }
+    boost::asio::io_context context(1);
+    const SignalGuard guard(context, *node.value());
+    context.run();
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
+    Arguments arguments;
+    if (!parseArguments(argc, const_cast<const char **>(argv), arguments)) // NOLINT: popt's type.
+        return ExitUsage;
+    if (arguments.showVersion) {
+        std::cout << "greengagevalved " << ggv::softwareVersion() << "\n";
+        return 0;
+    }
+    try {
+        return serve(arguments);
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "node: ended by a fault: " << error.what();
+        return ExitStart;
+    }
+}
