--- a/packages/coordination/ggv/coordination/node/settings.cpp
+++ b/packages/coordination/ggv/coordination/node/settings.cpp
@@ -1,15 +1,14 @@
 #include <ggv/coordination/node/settings.hpp>
 
+#include <ggv/state/model/endpoint_text.hpp>
+
 #include <array>
-#include <charconv>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <set>
 #include <sstream>
 
-#include <boost/asio/ip/address.hpp>
-
 #include <toml++/toml.h>
 
 namespace ggv {
@@ -50,11 +49,10 @@
         text(table, key, address, true);
         if (address.empty())
             return;
-        try {
-            value = parseEndpoint(address);
-        } catch (const Error &error) {
-            fault(table.get(key), error.what());
-        }
+        if (const auto endpoint = parseEndpoint(address))
+            value = *endpoint;
+        else
+            fault(table.get(key), "'" + address + "' is not an IP address with a port");
     }
 
     void threads(const toml::table &table, std::uint32_t &value)
@@ -158,29 +156,6 @@
 
 } // namespace
 
-Endpoint parseEndpoint(std::string_view text)
-{
-    const auto fail = [text] {
-        return Error(ResultCode::SettingsInvalid,
-                     "'" + std::string(text) + "' is not an IP address with a port");
-    };
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        throw fail();
-    std::string_view address = text.substr(0, colon);
-    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
-        address = address.substr(1, address.size() - 2);
-    boost::system::error_code ec;
-    const auto parsed = boost::asio::ip::make_address(std::string(address), ec);
-    Endpoint endpoint { ec ? std::string() : parsed.to_string(), 0 };
-    const std::string_view port = text.substr(colon + 1);
-    const auto [end, status]
-        = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (ec || status != std::errc() || end != port.data() + port.size())
-        throw fail();
-    return endpoint;
-}
-
 Result<Settings> parseSettings(std::string_view text)
 {
     SettingsReader reader;
--- a/packages/coordination/ggv/coordination/node/settings.hpp
+++ b/packages/coordination/ggv/coordination/node/settings.hpp
@@ -59,12 +59,4 @@
  */
 [[nodiscard]] std::string readTextFile(const std::string &path);
 
-/**
- * @brief Reads an address such as "127.0.0.1:8080" or "[::1]:8080".
- * @param text The address.
- * @return The endpoint.
- * @throws Error SettingsInvalid.
- */
-[[nodiscard]] Endpoint parseEndpoint(std::string_view text);
-
 } // namespace ggv
--- a/packages/coordination/test/programs/caller.cpp
+++ b/packages/coordination/test/programs/caller.cpp
@@ -4,6 +4,7 @@
 #include <ggv/coordination/entry/headers.hpp>
 #include <ggv/coordination/node/settings.hpp>
 #include <ggv/state/core/random_source.hpp>
+#include <ggv/state/model/endpoint_text.hpp>
 #include <ggv/transport/http/http_client.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
@@ -172,7 +173,7 @@
         m_found.clear();
         for (const auto &host : answer["hosts"])
             m_found.push_back({ host["host"],
-                                ggv::parseEndpoint(host["address"].get<std::string>()),
+                                ggv::parseEndpoint(host["address"].get<std::string>()).value(),
                                 host["weight"] });
         m_foundUntil
             = ggv::monotonicNow() + std::chrono::milliseconds(answer["lifetime_ms"].get<int>());
@@ -275,7 +276,7 @@
     std::vector<Endpoint> entries;
     std::istringstream parts(text);
     for (std::string part; std::getline(parts, part, ',');)
-        entries.push_back(ggv::parseEndpoint(part));
+        entries.push_back(ggv::parseEndpoint(part).value());
     return entries;
 }
 
