Elect the first leader of a quorum only by all its voters

A host that joins a running quorum with wrong first voters could otherwise win, together with a voter whose log is still empty, beside the quorum that has committed already. Ruled out: checking the lists alone, since they come from registers of different versions. All first voters must be up once.

A learner's next deadline is an hour away instead of the greatest instant, which overflows when a driver converts it to nanoseconds.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr Duration LearnerInterval = std::chrono::hours(1); // A learner has no deadlines.
+
 Ticket nextTicket() noexcept
 {
     static std::atomic<Ticket> last { 0 };
@@ -185,7 +187,7 @@
 {
     if (isLeader())
         return m_heartbeatDeadline;
-    return mayCampaign() ? m_electionDeadline : Instant::max();
+    return mayCampaign() ? m_electionDeadline : m_now + LearnerInterval;
 }
 
 RaftStatus Raft::Implementation::status() const
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -97,7 +97,7 @@
      * @param bootstrapVoters The first voters, used only if the store is empty; a member that is
      * not among them starts as a learner that never votes until the quorum takes it in. They are
      * the members of the quorum's very first start: a host that lost its disk gets a new identity
-     * and no bootstrap voters.
+     * and no bootstrap voters. The first leader needs the votes of all of them.
      * @param options Timing and sizes.
      * @param store Durable log; outlives the member.
      * @param machine Replicated content; outlives the member.
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -78,9 +78,14 @@
         becomeLeader();
 }
 
+// The first leader of a quorum needs every voter: a member that was given other first voters than
+// the rest cannot found a second quorum beside one that has committed anything.
 bool Raft::Implementation::wonElection() const
 {
     const auto hasVoted = [this](MemberId member) { return m_votes.contains(member) ? 1U : 0U; };
+    const std::vector<MemberId> &voters = members().voters;
+    if (m_log.lastIndex() == 0)
+        return std::all_of(voters.begin(), voters.end(), hasVoted);
     return detail::majorityValue(members(), hasVoted) == 1;
 }
 
--- a/packages/coordination/test/consensus/raft_history_test.cpp
+++ b/packages/coordination/test/consensus/raft_history_test.cpp
@@ -157,6 +157,8 @@
             return;
         forgetRemoved(*leader);
         const RaftStatus status = leader->raft->status();
+        if (status.commitIndex == 0)
+            return;
         const bool isLarge = status.voters.size() + status.learners.size() > m_shape.members;
         if (m_lost != 0)
             m_cluster.changeMember(*leader, m_lost, false);
