Test racing and resent changes of the register through faults

Histories now begin after the first leader, which needs all members, and assert that they accepted and read enough.

--- a/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
@@ -34,11 +34,11 @@
     refreshLease();
 }
 
-// One change at a time, and none before an entry of the own term is committed: two memberships
-// that differ by one member always share a majority.
+// One change at a time: two memberships that differ by one member always share a majority. The
+// first entry of a leader is a membership, so none is changed before a commit of the own term.
 void Raft::Implementation::advanceMembership()
 {
-    while (committedOwnTerm() && m_members.currentIndex() <= m_commitIndex) {
+    while (m_members.currentIndex() <= m_commitIndex) {
         const auto next = std::find_if(m_changes.begin(), m_changes.end(),
                                        [](const MembershipChange &it) { return !it.begun; });
         if (next == m_changes.end()) {
--- a/packages/coordination/test/consensus/cluster.hpp
+++ b/packages/coordination/test/consensus/cluster.hpp
@@ -8,6 +8,7 @@
 #include <storage/fake_disk.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,7 +49,7 @@
 inline std::uint64_t decodeNumber(ByteView bytes)
 {
     std::uint64_t number = 0;
-    for (std::size_t i = bytes.size(); i > 0; --i)
+    for (std::size_t i = std::min(bytes.size(), sizeof(number)); i > 0; --i)
         number = (number << 8U) | bytes[i - 1];
     return number;
 }
@@ -67,7 +68,8 @@
     }
 };
 
-//! Keeps the commands in order; answers a command with the number of commands so far.
+//! Keeps the commands in order; answers a command with the number of commands so far. Bytes after
+//! the number of a command are for derived machines.
 class ListMachine : public StateMachine
 {
 public:
@@ -161,8 +163,12 @@
 public:
     static constexpr Milliseconds Step { 10 };
 
-    explicit Cluster(std::size_t size, std::uint64_t seed, RaftOptions options = {})
+    using MachineFactory = std::function<std::unique_ptr<ListMachine>(SharedHistory &)>;
+
+    explicit Cluster(std::size_t size, std::uint64_t seed, RaftOptions options = {},
+                     MachineFactory createMachine = std::make_unique<ListMachine, SharedHistory &>)
         : m_options(options)
+        , m_createMachine(std::move(createMachine))
         , m_random(seed)
     {
         for (MemberId id = 1; id <= size; ++id)
@@ -196,7 +202,7 @@
     {
         RaftOptions options = m_options;
         options.seed = m_random();
-        host.machine = std::make_unique<ListMachine>(m_history);
+        host.machine = m_createMachine(m_history);
         host.store = LogStore::open(host.disk, "q-", host.id).value();
         host.raft = Raft::create(host.id, host.bootstrap, options, *host.store, *host.machine,
                                  host.localTime(m_now))
@@ -262,11 +268,16 @@
         return *leader();
     }
 
-    //! Proposes a new command at a member. @return Number of the command.
-    std::uint64_t propose(Member &host)
+    //! Called with the bytes that a derived machine added to its answer to an accepted command.
+    std::function<void(std::uint64_t command, ByteView answer)> onAnswer;
+
+    //! Proposes a new command at a member; @param extra For a derived machine. @return Its number.
+    std::uint64_t propose(Member &host, const Bytes &extra = {})
     {
         const std::uint64_t command = ++m_lastCommand;
-        const Ticket ticket = host.raft->propose(encodeNumber(command), host.localTime(m_now));
+        Bytes bytes = encodeNumber(command);
+        bytes.insert(bytes.end(), extra.begin(), extra.end());
+        const Ticket ticket = host.raft->propose(std::move(bytes), host.localTime(m_now));
         m_requests[ticket] = { host.id, Kind::Write, command, m_floor };
         return command;
     }
@@ -461,6 +472,8 @@
                 "answer of another command");
         m_accepted[request.command] = position;
         m_floor = std::max<std::size_t>(m_floor, position);
+        if (onAnswer)
+            onAnswer(request.command, ByteView(completion.answer).subspan(sizeof(position)));
     }
 
     void completeRead(const Request &request, std::size_t seen)
@@ -529,6 +542,7 @@
     }
 
     RaftOptions m_options;
+    MachineFactory m_createMachine;
     std::mt19937_64 m_random;
     Instant m_now { std::chrono::seconds(1000) };
     std::vector<MemberId> m_firstVoters;
--- /dev/null
+++ b/packages/coordination/test/consensus/history.hpp
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "cluster.hpp"
+
+namespace ggv::test {
+
+//! What a random history may contain besides requests.
+struct HistoryShape
+{
+    std::size_t members = 3;
+    bool crashes = false;
+    bool partitions = false;
+    bool freezes = false;
+    bool lossyNetwork = false;
+    bool membership = false;
+    std::int64_t clockDrift = 0; // Percent.
+};
+
+//! Plays random events on a cluster; a derived class adds requests of its own.
+class History
+{
+public:
+    template <typename... Arguments>
+    History(const HistoryShape &shape, std::uint64_t seed, Arguments... arguments)
+        : m_shape(shape)
+        , m_cluster(shape.members, seed, options(), std::move(arguments)...)
+        , m_nextId(shape.members + 1)
+    { }
+
+    virtual ~History() = default;
+
+    Cluster &play(int events)
+    {
+        // The first leader needs all members; faults begin once there is one.
+        static_cast<void>(m_cluster.waitForLeader());
+        if (m_shape.lossyNetwork)
+            m_cluster.faults = { 10, 10, Milliseconds(1), Milliseconds(150) };
+        for (int i = 0; i < events; ++i) {
+            request();
+            disturb();
+            m_cluster.run(Milliseconds(10 * (1 + below(20))));
+        }
+        m_cluster.checkOutcome();
+        return m_cluster;
+    }
+
+protected:
+    [[nodiscard]] Cluster &cluster() noexcept { return m_cluster; }
+
+    static RaftOptions options()
+    {
+        RaftOptions options;
+        options.snapshotAfterEntries = 12;
+        options.maxAppendBytes = 40;
+        return options;
+    }
+
+    std::uint64_t below(std::uint64_t limit) { return m_cluster.random()() % limit; }
+
+    Member &anyMember()
+    {
+        auto it = m_cluster.members().begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(below(m_cluster.members().size())));
+        return *it->second;
+    }
+
+    virtual void request()
+    {
+        Member *leader = m_cluster.leader();
+        Member &host = leader != nullptr && below(4) != 0 ? *leader : anyMember();
+        if (!host.isUp())
+            return;
+        const auto writes = below(4);
+        for (std::uint64_t i = 0; i < writes; ++i)
+            m_cluster.propose(host);
+        if (below(2) == 0)
+            m_cluster.read(anyUp(host));
+    }
+
+    Member &anyUp(Member &fallback)
+    {
+        Member &host = anyMember();
+        return host.isUp() ? host : fallback;
+    }
+
+private:
+    void disturb()
+    {
+        switch (below(8)) {
+        case 0:
+            return crashOne();
+        case 1:
+            return restartOne();
+        case 2:
+            return split();
+        case 3:
+            return m_cluster.cutOff({});
+        case 4:
+            return freeze();
+        case 5:
+            return changeClock();
+        case 6:
+            return changeMembership();
+        default:
+            return;
+        }
+    }
+
+    void crashOne()
+    {
+        Member &host = anyMember();
+        if (!m_shape.crashes || !host.isUp())
+            return;
+        if (below(2) == 0)
+            host.disk.limit(below(12));
+        else
+            m_cluster.crash(host);
+    }
+
+    void restartOne()
+    {
+        for (auto &[id, host] : m_cluster.members()) {
+            if (!host->isUp())
+                return m_cluster.start(*host);
+        }
+    }
+
+    void split()
+    {
+        if (!m_shape.partitions)
+            return;
+        std::set<MemberId> side;
+        for (const auto &[id, host] : m_cluster.members()) {
+            if (below(2) == 0)
+                side.insert(id);
+        }
+        m_cluster.cutOff(side);
+    }
+
+    void freeze()
+    {
+        if (m_shape.freezes)
+            anyMember().frozenUntil = m_cluster.now() + Milliseconds(10 * below(300));
+    }
+
+    void changeClock()
+    {
+        if (m_shape.clockDrift == 0)
+            return;
+        const auto width = static_cast<std::uint64_t>(2 * m_shape.clockDrift + 1);
+        const auto drift = static_cast<std::int64_t>(below(width)) - m_shape.clockDrift;
+        anyMember().setClockSpeed(100 + drift, m_cluster.now());
+    }
+
+    // Either adds a host, removes one, or loses the disk of one, which then comes back as new.
+    void changeMembership()
+    {
+        Member *leader = m_cluster.leader();
+        if (!m_shape.membership || leader == nullptr)
+            return;
+        forgetRemoved(*leader);
+        const RaftStatus status = leader->raft->status();
+        if (status.commitIndex == 0)
+            return;
+        const bool isLarge = status.voters.size() + status.learners.size() > m_shape.members;
+        if (m_lost != 0)
+            m_cluster.changeMember(*leader, m_lost, false);
+        else if (isLarge)
+            m_cluster.changeMember(*leader, status.voters[below(status.voters.size())], false);
+        else if (below(3) == 0 && status.voters.size() >= m_shape.members)
+            loseDisk(status.voters[below(status.voters.size())]);
+        else
+            addHost(*leader);
+    }
+
+    void addHost(Member &leader)
+    {
+        m_cluster.addHost(m_nextId);
+        m_cluster.changeMember(leader, m_nextId++, true);
+    }
+
+    // At most one disk is lost at a time, and only from a full quorum.
+    void loseDisk(MemberId id)
+    {
+        m_lost = id;
+        m_cluster.destroy(id);
+    }
+
+    void forgetRemoved(Member &leader)
+    {
+        const RaftStatus status = leader.raft->status();
+        const bool listed = std::count(status.voters.begin(), status.voters.end(), m_lost) > 0;
+        if (m_lost != 0 && !listed && status.commitIndex == status.lastIndex)
+            m_lost = 0;
+    }
+
+    HistoryShape m_shape;
+    Cluster m_cluster;
+    MemberId m_nextId;
+    MemberId m_lost = 0; // Voter whose disk is lost and which is not yet removed.
+};
+
+} // namespace ggv::test
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(longCutOffMemberReturnsQuietly);
     CPPUNIT_TEST(longCutOffCandidateNeverRaisesTheTerm);
     CPPUNIT_TEST(cutOffLeaderAnswersNothingAsAccepted);
+    CPPUNIT_TEST(leaseEndsBeforeFastClocksElect);
     CPPUNIT_TEST(followerRefusesRequests);
     CPPUNIT_TEST(catchesUpAfterHundredsOfChanges);
     CPPUNIT_TEST(lostDiskReturnsAsNewMemberBeforeSecondLoss);
@@ -85,6 +86,24 @@
         cluster.checkOutcome();
     }
 
+    // The tightest case: equal timeouts, a slow leader, fast followers.
+    void leaseEndsBeforeFastClocksElect()
+    {
+        RaftOptions options;
+        options.electionTimeoutMax = options.electionTimeoutMin + Milliseconds(20);
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            Cluster cluster(3, seed, options);
+            cluster.faults.maxDelay = Milliseconds(1);
+            const MemberId old = cluster.waitForLeader().id;
+            for (const MemberId id : Three)
+                cluster.member(id).setClockSpeed(id == old ? 95 : 105, cluster.now());
+            cluster.run(Milliseconds(500));
+            cluster.cutOff({ old });
+            cluster.run(Milliseconds(3000));
+            cluster.checkOutcome();
+        }
+    }
+
     void followerRefusesRequests()
     {
         Cluster cluster(3, 5);
