--- a/packages/state/ggv/state/claim/claim_table.cpp
+++ b/packages/state/ggv/state/claim/claim_table.cpp
@@ -36,8 +36,7 @@
     [[nodiscard]] ClaimOutcome finished(const Slot &slot) const;
     [[nodiscard]] bool isExpired(UnixMillis keyTime) const noexcept;
     [[nodiscard]] bool isFull() const noexcept { return m_keys.size() >= m_limits.maxKeys; }
-    void refuseAllEarlier();
-    bool refuseLateClaim(const ClaimRelease &release);
+    void refuseLateClaim(const ClaimRelease &release);
 
     ClaimTableLimits m_limits;
     detail::TableClock m_clock;
@@ -65,12 +64,6 @@
     m_clock.nextFloorTime = m_clock.now;
 }
 
-void ClaimTable::Implementation::refuseAllEarlier()
-{
-    m_clock.floor = m_clock.position;
-    m_keys.forgetReleases(m_clock.floor);
-}
-
 bool ClaimTable::Implementation::isExpired(UnixMillis keyTime) const noexcept
 {
     return keyTime > 0 && keyTime < m_clock.now - m_limits.keyWindow;
@@ -92,11 +85,8 @@
         return { ClaimDecision::Expired, {} };
     if (request.seenPosition < m_clock.floor)
         return { ClaimDecision::Stale, {} };
-    if (isFull()) {
-        // The asker says "not run", so no request that arrived before now may run.
-        refuseAllEarlier();
+    if (isFull())
         return { ClaimDecision::Full, {} };
-    }
     return grant(m_keys.add(request.key, 0), request);
 }
 
@@ -153,8 +143,10 @@
 bool ClaimTable::Implementation::release(const ClaimRelease &release)
 {
     auto *const slot = m_keys.find(release.key);
-    if (slot == nullptr)
-        return refuseLateClaim(release);
+    if (slot == nullptr) {
+        refuseLateClaim(release);
+        return false;
+    }
     if (slot->state() == KeyState::Tombstone)
         return false;
     const auto &record = m_keys.recordOf(*slot);
@@ -170,14 +162,12 @@
     return true;
 }
 
-// A claim that was given up before it arrived must not be granted when it does.
-bool ClaimTable::Implementation::refuseLateClaim(const ClaimRelease &release)
+// A claim that was given up before it arrived must not be granted when it does. In a full table it
+// is refused anyway, or else its key stays without a known result.
+void ClaimTable::Implementation::refuseLateClaim(const ClaimRelease &release)
 {
-    if (isFull())
-        refuseAllEarlier();
-    else
+    if (!isFull())
         m_keys.release(m_keys.add(release.key, 0), ClaimId {}, m_clock.position);
-    return false;
 }
 
 ClaimTable::ClaimTable(const ClaimTableLimits &limits)
--- a/packages/state/ggv/state/claim/claim_table.hpp
+++ b/packages/state/ggv/state/claim/claim_table.hpp
@@ -88,7 +88,7 @@
     Unresolved, //!< It was claimed and no result is known: unknown.
     FingerprintMismatch, //!< The key was used for another request.
     Expired, //!< The key is older than the table remembers: unknown.
-    Full, //!< The table cannot take a further key: not run.
+    Full, //!< The table cannot take a further key; this claim is refused.
     Stale, //!< The request may have arrived before the key was last given back: ask again.
 };
 
@@ -123,7 +123,7 @@
  * their time are forgotten once every resend with them is refused by age.
  *
  * The position counts the operations of the table. A caller is told "not run" when its claim is
- * given back or the table is full, so requests with the same key that arrived at any entry host
+ * given back, so requests with the same key that arrived at any entry host
  * before that must not run any more: a claim is granted only if its seenPosition is not before the
  * key's last release. The records of releases are dropped after the attempt window; from then on
  * every claim with an older seenPosition is refused.
@@ -148,7 +148,7 @@
     //! @return True if the result is now the kept one.
     bool complete(const ClaimCompletion &completion, UnixMillis now);
     //! Gives a claim back; a key that another ClaimId holds or finished is left alone. If the claim
-    //! has not arrived yet, it is refused when it does.
+    //! has not arrived yet, it is refused when it does, unless the table is full.
     //! @return True if this claim was held and the key is free again.
     bool release(const ClaimRelease &release, UnixMillis now);
 
--- a/packages/state/ggv/state/request/request_outcome.cpp
+++ b/packages/state/ggv/state/request/request_outcome.cpp
@@ -121,7 +121,7 @@
     case ClaimDecision::Expired:
         return { ResultCode::IdempotencyKeyExpired, Verdict::Unknown };
     case ClaimDecision::Full:
-        return { ResultCode::ClaimStoreFull, Verdict::NotRun };
+        return { ResultCode::ClaimStoreFull, Verdict::Unknown };
     case ClaimDecision::Stale:
         return { ResultCode::ClaimUnavailable, Verdict::Unknown };
     case ClaimDecision::Granted:
--- a/packages/state/ggv/state/request/request_outcome.hpp
+++ b/packages/state/ggv/state/request/request_outcome.hpp
@@ -67,8 +67,8 @@
  *
  * Values in, values out; the driver does the input and output. "Not run" is given only if no byte
  * of the request can have reached a target, or every attempt was refused by NotExecutedHeader, and,
- * for a non-idempotent request, the claim group has granted the claim or is full: without its word
- * the same key may have run through another entry host.
+ * for a non-idempotent request, the claim group has granted the claim: without it the same key may
+ * have run, or may still run, through another entry host.
  *
  * It is a value without a private implementation, as there is one for every request in flight.
  */
