--- /dev/null
+++ b/packages/state/bench/claim/claim_table_bench.cpp
@@ -0,0 +1,135 @@
+#include <ggv/state/claim/claim_table.hpp>
+
+#include <benchmark/benchmark.h>
+
+#include <cstdint>
+
+#include <malloc.h>
+
+namespace {
+
+using namespace ggv;
+
+constexpr UnixMillis Start = 1'800'000'000'000;
+constexpr UnixMillis Day = 24LL * 3600 * 1000;
+constexpr std::size_t AnswerBytes = 256;
+
+// What a table is filled with.
+enum class Fill { Tombstones, TimedTombstones, Held };
+
+// Distributes numbers over 128 bits as a digest does (finalizer of SplitMix64).
+std::uint64_t mixed(std::uint64_t number)
+{
+    number += 0x9e3779b97f4a7c15ULL;
+    number = (number ^ (number >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    number = (number ^ (number >> 27U)) * 0x94d049bb133111ebULL;
+    return number ^ (number >> 31U);
+}
+
+KeyDigest keyOf(std::uint64_t number) { return { mixed(number), mixed(~number) }; }
+
+KeptAnswer answer()
+{
+    return { 201, { { "Location", "/orders/1" } }, Bytes(AnswerBytes, 'x'), true };
+}
+
+void add(ClaimTable &table, std::uint64_t number, Fill fill, UnixMillis now)
+{
+    const ClaimId claim { 1, number };
+    const auto keyTime = fill == Fill::TimedTombstones ? now : 0;
+    benchmark::DoNotOptimize(
+        table.claim({ keyOf(number), claim, 1, keyTime, table.position() }, now));
+    if (fill != Fill::Held)
+        benchmark::DoNotOptimize(table.complete({ keyOf(number), claim, answer() }, now));
+}
+
+ClaimTable filled(std::uint64_t count, Fill fill)
+{
+    ClaimTableLimits limits;
+    limits.maxKeys = 2 * count + 10'000'000;
+    ClaimTable table(limits);
+    for (std::uint64_t it = 0; it < count; ++it)
+        add(table, it, fill, Start);
+    table.touch(Start + Day); // Answers shrink to tombstones.
+    return table;
+}
+
+// Claims and completes new keys on a table of a given number of tombstones.
+void claimAndComplete(benchmark::State &state)
+{
+    const auto count = static_cast<std::uint64_t>(state.range(0));
+    auto table = filled(count, Fill::Tombstones);
+    auto next = count;
+    for (auto _ : state)
+        add(table, next++, Fill::Tombstones, Start + Day);
+    state.SetItemsProcessed(state.iterations());
+}
+
+// Asks again for keys that are finished.
+void resend(benchmark::State &state)
+{
+    const auto count = static_cast<std::uint64_t>(state.range(0));
+    auto table = filled(count, Fill::Tombstones);
+    std::uint64_t next = 0;
+    for (auto _ : state) {
+        const auto key = keyOf(mixed(next++) % count);
+        benchmark::DoNotOptimize(table.claim({ key, { 2, next }, 1, 0, 0 }, Start + Day));
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+
+void bytesPerKey(benchmark::State &state)
+{
+    const auto count = static_cast<std::uint64_t>(state.range(0));
+    const auto fill = static_cast<Fill>(state.range(1));
+    for (auto _ : state) {
+        const auto before = mallinfo2();
+        const auto table = filled(count, fill);
+        const auto after = mallinfo2();
+        const auto used = static_cast<double>(after.uordblks + after.hblkhd)
+            - static_cast<double>(before.uordblks + before.hblkhd);
+        state.counters["bytes_per_key"] = used / static_cast<double>(count);
+        state.counters["encoded_bytes_per_key"]
+            = static_cast<double>(table.encode().size()) / static_cast<double>(count);
+    }
+}
+
+void encode(benchmark::State &state)
+{
+    const auto table = filled(static_cast<std::uint64_t>(state.range(0)), Fill::Tombstones);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(table.encode());
+}
+
+void decode(benchmark::State &state)
+{
+    const auto bytes
+        = filled(static_cast<std::uint64_t>(state.range(0)), Fill::Tombstones).encode();
+    for (auto _ : state)
+        benchmark::DoNotOptimize(ClaimTable::decode(bytes));
+}
+
+void sizes(benchmark::internal::Benchmark *bench)
+{
+    for (const auto count : { 10'000, 100'000, 1'000'000, 4'000'000 })
+        bench->Arg(count);
+}
+
+void sizesAndFills(benchmark::internal::Benchmark *bench)
+{
+    bench->ArgNames({ "keys", "fill" });
+    for (const auto fill : { Fill::Tombstones, Fill::TimedTombstones, Fill::Held }) {
+        for (const auto count : { 10'000, 100'000, 1'000'000, 4'000'000 })
+            bench->Args({ count, static_cast<int>(fill) });
+    }
+}
+
+constexpr std::int64_t Operations = 200'000;
+
+BENCHMARK(claimAndComplete)->Apply(sizes)->Iterations(Operations);
+BENCHMARK(resend)->Apply(sizes)->Iterations(Operations);
+BENCHMARK(bytesPerKey)->Apply(sizesAndFills)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(encode)->Apply(sizes)->Unit(benchmark::kMillisecond);
+BENCHMARK(decode)->Apply(sizes)->Unit(benchmark::kMillisecond);
+
+} // namespace
--- a/packages/state/ggv/state/claim/key_store.cpp
+++ b/packages/state/ggv/state/claim/key_store.cpp
@@ -155,14 +155,4 @@
     m_slots.erase(key);
 }
 
-std::vector<const Slot *> KeyStore::sorted() const
-{
-    std::vector<const Slot *> slots;
-    slots.reserve(m_slots.size());
-    m_slots.forEach([&slots](const Slot &slot) { slots.push_back(&slot); });
-    std::sort(slots.begin(), slots.end(),
-              [](const Slot *left, const Slot *right) { return left->key < right->key; });
-    return slots;
-}
-
 } // namespace ggv::detail
--- a/packages/state/ggv/state/claim/key_store.hpp
+++ b/packages/state/ggv/state/claim/key_store.hpp
@@ -74,8 +74,12 @@
     //! Removes keys whose own time lies whole minutes before the given one.
     void forgetKeysBefore(UnixMillis time);
 
-    //! @return All slots, sorted by key.
-    [[nodiscard]] std::vector<const Slot *> sorted() const;
+    //! Visits all slots in the order of their keys. @param visitor Called with each slot.
+    template <typename Visitor>
+    void forEachSorted(Visitor visitor) const
+    {
+        m_slots.forEachSorted(visitor);
+    }
     //! @return Number of keys.
     [[nodiscard]] std::uint64_t size() const noexcept { return m_slots.size(); }
     //! @return Bytes of kept answers.
--- a/packages/state/ggv/state/claim/slot_map.cpp
+++ b/packages/state/ggv/state/claim/slot_map.cpp
@@ -1,5 +1,7 @@
 #include <ggv/state/claim/slot_map.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ggv::detail {
@@ -58,6 +60,17 @@
     shard = std::move(larger);
 }
 
+std::vector<Slot> SlotMap::sorted(const Shard &shard)
+{
+    std::vector<Slot> slots;
+    slots.reserve(shard.used);
+    std::copy_if(shard.slots.begin(), shard.slots.end(), std::back_inserter(slots),
+                 [](const Slot &slot) { return slot.state() != KeyState::Empty; });
+    std::sort(slots.begin(), slots.end(),
+              [](const Slot &left, const Slot &right) { return left.key < right.key; });
+    return slots;
+}
+
 Slot *SlotMap::find(const KeyDigest &key) noexcept
 {
     auto &shard = shardOf(key);
@@ -101,12 +114,4 @@
     --m_size;
 }
 
-std::uint64_t SlotMap::allocatedBytes() const noexcept
-{
-    std::uint64_t bytes = 0;
-    for (const auto &shard : m_shards)
-        bytes += shard.slots.capacity() * sizeof(Slot);
-    return bytes;
-}
-
 } // namespace ggv::detail
--- a/packages/state/ggv/state/claim/slot_map.hpp
+++ b/packages/state/ggv/state/claim/slot_map.hpp
@@ -61,21 +61,18 @@
     void erase(const KeyDigest &key) noexcept;
     //! @return Number of keys.
     [[nodiscard]] std::uint64_t size() const noexcept { return m_size; }
-    //! @return Bytes allocated for slots.
-    [[nodiscard]] std::uint64_t allocatedBytes() const noexcept;
 
     /**
-     * @brief Visits all slots in no particular order.
+     * @brief Visits all slots in the order of their keys.
      * @param visitor Called with each slot.
      */
     template <typename Visitor>
-    void forEach(Visitor visitor) const
+    void forEachSorted(Visitor visitor) const
     {
+        // A shard holds a range of keys.
         for (const auto &shard : m_shards) {
-            for (const auto &slot : shard.slots) {
-                if (slot.state() != KeyState::Empty)
-                    visitor(slot);
-            }
+            for (const auto &slot : sorted(shard))
+                visitor(slot);
         }
     }
 
@@ -92,6 +89,7 @@
     [[nodiscard]] static std::size_t homeOf(const Shard &shard, const KeyDigest &key) noexcept;
     [[nodiscard]] static std::size_t probe(const Shard &shard, const KeyDigest &key) noexcept;
     static void grow(Shard &shard);
+    [[nodiscard]] static std::vector<Slot> sorted(const Shard &shard);
 
     std::array<Shard, ShardCount> m_shards;
     std::uint64_t m_size = 0;
--- a/packages/state/ggv/state/claim/table_codec.cpp
+++ b/packages/state/ggv/state/claim/table_codec.cpp
@@ -3,6 +3,7 @@
 #include <ggv/state/core/error.hpp>
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -15,6 +16,7 @@
 
 constexpr std::uint32_t TableMagic = 0x31434747; // "GGC1"
 constexpr std::size_t ChecksumBytes = sizeof(std::uint64_t);
+constexpr std::size_t FixedBytes = 64; // At least magic, clock, count and checksum.
 constexpr std::size_t SmallestKeyBytes = 29; // Digest, fingerprint, minute, state.
 constexpr unsigned BitsPerByte = 8;
 
@@ -31,10 +33,12 @@
     void put(Integer value)
     {
         auto bits = static_cast<std::uint64_t>(value);
-        for (std::size_t it = 0; it < sizeof(Integer); ++it) {
-            m_bytes.push_back(static_cast<std::uint8_t>(bits));
+        std::array<std::uint8_t, sizeof(Integer)> buf {};
+        for (auto &byte : buf) {
+            byte = static_cast<std::uint8_t>(bits);
             bits >>= BitsPerByte;
         }
+        m_bytes.insert(m_bytes.end(), buf.begin(), buf.end());
     }
 
     template <typename Range>
@@ -241,12 +245,11 @@
 Bytes encodeTable(const TableClock &clock, const KeyStore &keys)
 {
     Writer writer;
-    writer.reserve(keys.size() * SmallestKeyBytes + keys.answerBytes());
+    writer.reserve(FixedBytes + keys.size() * SmallestKeyBytes + keys.answerBytes());
     writer.put(TableMagic);
     putClock(writer, clock);
     writer.put(keys.size());
-    for (const auto *const slot : keys.sorted())
-        putSlot(writer, *slot, keys);
+    keys.forEachSorted([&](const Slot &slot) { putSlot(writer, slot, keys); });
     return writer.finish();
 }
 
