--- a/packages/state/bench/claim/claim_table_bench.cpp
+++ b/packages/state/bench/claim/claim_table_bench.cpp
@@ -60,7 +60,7 @@
     const auto count = static_cast<std::uint64_t>(state.range(0));
     auto table = filled(count, Fill::Tombstones);
     auto next = count;
-    for (auto _ : state)
+    while (state.KeepRunning())
         add(table, next++, Fill::Tombstones, Start + Day);
     state.SetItemsProcessed(state.iterations());
 }
@@ -71,7 +71,7 @@
     const auto count = static_cast<std::uint64_t>(state.range(0));
     auto table = filled(count, Fill::Tombstones);
     std::uint64_t next = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const auto key = keyOf(mixed(next++) % count);
         benchmark::DoNotOptimize(table.claim({ key, { 2, next }, 1, 0, 0 }, Start + Day));
     }
@@ -82,7 +82,7 @@
 {
     const auto count = static_cast<std::uint64_t>(state.range(0));
     const auto fill = static_cast<Fill>(state.range(1));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const auto before = mallinfo2();
         const auto table = filled(count, fill);
         const auto after = mallinfo2();
@@ -97,7 +97,7 @@
 void encode(benchmark::State &state)
 {
     const auto table = filled(static_cast<std::uint64_t>(state.range(0)), Fill::Tombstones);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(table.encode());
 }
 
@@ -105,7 +105,7 @@
 {
     const auto bytes
         = filled(static_cast<std::uint64_t>(state.range(0)), Fill::Tombstones).encode();
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(ClaimTable::decode(bytes));
 }
 
