Prove leased budgets by property tests over whole histories

Virtual clocks with up to 5% drift, a network that loses, doubles, delays and reorders, one-way cuts, kills, restarts, freezes between the stages of a grantor, leader changes and register changes. First run: a host that wanted its lent units back never got them, because the borrower's lease was renewed.

--- a/packages/state/ggv/state/budget/budget_ledger.cpp
+++ b/packages/state/ggv/state/budget/budget_ledger.cpp
@@ -31,6 +31,8 @@
     BudgetUnits latest = 0; // In the version in force.
     BudgetUnits largest = 0; // In any version that the host may still have in force.
     std::vector<Promise> promises;
+    BudgetUnits reclaimed = 0; // What the host wants of its share; not lent out again.
+    Instant reclaimedUntil = Instant::min();
 
     BudgetUnits bound() const noexcept { return std::max(latest, largest); }
 
@@ -215,11 +217,12 @@
             return;
         m_version = limits.version;
         auto next = limits.limits.begin();
-        for (auto &[key, account] : m_keys) {
+        for (auto &entry : m_keys) {
+            const BudgetKey &key = entry.first;
             next = std::find_if_not(next, limits.limits.end(),
-                                    [&](const BudgetLimit &it) { return it.key < key; });
+                                    [&key](const BudgetLimit &it) { return it.key < key; });
             if (next == limits.limits.end() || next->key != key)
-                changeLimit(account, { key, 0, {} });
+                changeLimit(entry.second, { key, 0, {} });
         }
         for (const BudgetLimit &limit : limits.limits)
             changeLimit(keyOf(limit.key), limit);
@@ -378,7 +381,7 @@
         for (auto &[key, account] : m_keys) {
             account.claims.clear();
             for (auto &[host, fixed] : account.fixed)
-                fixed.promises.clear();
+                fixed = { fixed.latest, fixed.largest, {}, 0, Instant::min() };
         }
     }
 
@@ -492,6 +495,18 @@
         return &claim->second;
     }
 
+    // Units that new leases must leave to the fixed shares.
+    std::int64_t fixedReserve(const KeyAccount &account, Instant now, Instant end) const
+    {
+        std::int64_t sum = 0;
+        for (const auto &[host, fixed] : account.fixed) {
+            const BudgetUnits reclaimed = fixed.reclaimedUntil >= now ? fixed.reclaimed : 0;
+            const BudgetUnits use = m_hosts[host].stopped(now, end) ? 0 : fixed.useUntil(end);
+            sum += std::max(use, reclaimed);
+        }
+        return sum;
+    }
+
     std::int64_t fixedUse(const KeyAccount &account, Instant now, Instant end) const
     {
         std::int64_t sum = 0;
@@ -547,10 +562,12 @@
         if (it == account.fixed.end() || !decision.sameVersion
             || decision.wanted <= decision.retained)
             return;
+        FixedAccount &fixed = it->second;
+        fixed.reclaimed = std::min(fixed.latest, decision.wanted);
+        fixed.reclaimedUntil = decision.now + m_timing.awaited(m_timing.lifetime);
         const Total leased = account.leased(decision.now);
         if (account.boundSum() + leased.pool > account.limit)
             return;
-        FixedAccount &fixed = it->second;
         const std::int64_t counted = fixed.useUntil(decision.end);
         const std::int64_t others = fixedUse(account, decision.now, decision.end) - counted;
         const std::int64_t room = account.limit - leased.units - others;
@@ -571,7 +588,8 @@
         noteWant(claim, decision);
         const Total own = claim.current(decision.now);
         const Total leased = account.leased(decision.now);
-        const std::int64_t capacity = account.limit - fixedUse(account, decision.now, decision.end);
+        const std::int64_t capacity
+            = account.limit - fixedReserve(account, decision.now, decision.end);
         const std::int64_t free = capacity - (leased.units - own.units);
         const std::int64_t fair = fairShare(decision, capacity);
         const std::int64_t units = std::min(fair, free);
--- a/packages/state/ggv/state/budget/budget_timing.hpp
+++ b/packages/state/ggv/state/budget/budget_timing.hpp
@@ -37,8 +37,9 @@
      */
     [[nodiscard]] Duration awaited(Duration duration) const noexcept
     {
-        const auto slowest = static_cast<Duration::rep>(100 - maxClockDriftPercent);
-        const auto fastest = static_cast<Duration::rep>(100 + maxClockDriftPercent);
+        const Duration::rep drift = maxClockDriftPercent;
+        const Duration::rep slowest = 100 - drift;
+        const Duration::rep fastest = 100 + drift;
         return Duration((duration.count() * fastest + slowest - 1) / slowest);
     }
 
@@ -49,8 +50,9 @@
      */
     [[nodiscard]] Duration trusted(Duration duration) const noexcept
     {
-        const auto slowest = static_cast<Duration::rep>(100 - maxClockDriftPercent);
-        const auto fastest = static_cast<Duration::rep>(100 + maxClockDriftPercent);
+        const Duration::rep drift = maxClockDriftPercent;
+        const Duration::rep slowest = 100 - drift;
+        const Duration::rep fastest = 100 + drift;
         return Duration(duration.count() * slowest / fastest);
     }
 
--- /dev/null
+++ b/packages/state/test/budget/budget_history_test.cpp
@@ -0,0 +1,131 @@
+#include <budget/budget_world.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using ggv::BudgetUnits;
+using ggv::test::BudgetWorld;
+
+using Steps = std::vector<std::uint32_t>;
+
+constexpr std::size_t StepsPerHistory = 150;
+
+Steps anySteps()
+{
+    return *rc::gen::container<Steps>(StepsPerHistory, rc::gen::arbitrary<std::uint32_t>());
+}
+
+class BudgetHistoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BudgetHistoryTest);
+    CPPUNIT_TEST(sumNeverExceedsTheLimit);
+    CPPUNIT_TEST(wantsAreMetAfterFaultsEnd);
+    CPPUNIT_TEST(aCutOffDomainGetsItsFixedSharesBack);
+    CPPUNIT_TEST(nothingCrossesWithoutLease);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void sumNeverExceedsTheLimit()
+    {
+        CPPUNIT_ASSERT(rc::check("sum of use stays within the limit", [](std::uint32_t seed) {
+            BudgetWorld world(seed);
+            for (const std::uint32_t choice : anySteps())
+                world.step(choice);
+            if (!world.violation().empty())
+                RC_FAIL(world.violation());
+        }));
+    }
+
+    void wantsAreMetAfterFaultsEnd()
+    {
+        CPPUNIT_ASSERT(rc::check("wants are met max-min fair", [](std::uint32_t seed) {
+            BudgetWorld world(seed);
+            for (const std::uint32_t choice : anySteps())
+                world.step(choice);
+            world.repair();
+            world.run(std::chrono::seconds(45));
+            RC_ASSERT(world.violation() == "");
+            for (std::size_t key = 0; key < BudgetWorld::keys().size(); ++key)
+                assertFair(world, key);
+        }));
+    }
+
+    void aCutOffDomainGetsItsFixedSharesBack()
+    {
+        CPPUNIT_ASSERT(rc::check("fixed shares return within the promise", [](std::uint32_t seed) {
+            BudgetWorld world(seed);
+            world.setFaulty(false);
+            for (std::size_t n = 0; n < BudgetWorld::DomainHosts; ++n)
+                world.want(n, { 0, 0, 0, 0 });
+            for (std::size_t n = BudgetWorld::DomainHosts; n < BudgetWorld::HostCount; ++n)
+                world.want(n, { 9, 9, 0, 0 });
+            world.run(std::chrono::seconds(30));
+            RC_ASSERT(world.usable(3, 0) + world.usable(4, 0) > 6U);
+            for (std::size_t n = 0; n < BudgetWorld::DomainHosts; ++n) {
+                world.cut(n, true);
+                world.want(n, { 9, 9, 0, 0 });
+            }
+            world.run(std::chrono::milliseconds(8500)); // The promise on the slowest clock.
+            RC_ASSERT(world.violation() == "");
+            for (std::size_t n = 0; n < BudgetWorld::DomainHosts; ++n)
+                RC_ASSERT(world.usable(n, 0) == fixedShare(world, n, 0));
+        }));
+    }
+
+    void nothingCrossesWithoutLease()
+    {
+        CPPUNIT_ASSERT(rc::check("links and shifts need a live lease", [](std::uint32_t seed) {
+            BudgetWorld world(seed);
+            world.setFaulty(false);
+            world.run(std::chrono::seconds(20));
+            RC_ASSERT(world.usable(0, 2) > 0U);
+            RC_ASSERT(world.usable(0, 3) > 0U);
+            world.cut(0, true);
+            world.run(std::chrono::milliseconds(2150)); // The lifetime on the slowest clock.
+            RC_ASSERT(world.usable(0, 2) == 0U);
+            RC_ASSERT(world.usable(0, 3) == 0U);
+        }));
+    }
+
+private:
+    static BudgetUnits fixedShare(const BudgetWorld &world, std::size_t n, std::size_t key)
+    {
+        for (const ggv::FixedShare &it : world.latest().limits.at(key).fixed) {
+            if (it.host == BudgetWorld::name(n))
+                return it.units;
+        }
+        return 0;
+    }
+
+    static void assertFair(const BudgetWorld &world, std::size_t key)
+    {
+        BudgetUnits used = 0;
+        BudgetUnits wanted = 0;
+        BudgetUnits idleReserve = 0;
+        BudgetUnits leastUnmet = ~0U;
+        BudgetUnits mostLeased = 0;
+        for (std::size_t n = 0; n < BudgetWorld::HostCount; ++n) {
+            const BudgetUnits fixed = fixedShare(world, n, key);
+            const BudgetUnits want = world.wanted(n, key);
+            const BudgetUnits usable = world.usable(n, key);
+            RC_ASSERT(usable >= std::min(want, fixed));
+            used += std::min(want, usable);
+            wanted += want;
+            idleReserve += want < fixed ? std::min((fixed + 3) / 4, fixed - want) : 0;
+            const BudgetUnits leased = usable > fixed ? usable - fixed : 0;
+            if (usable < want)
+                leastUnmet = std::min(leastUnmet, leased);
+            mostLeased = std::max(mostLeased, want > fixed ? std::min(leased, want - fixed) : 0);
+        }
+        const BudgetUnits limit = world.latest().limits.at(key).units;
+        RC_ASSERT(used + idleReserve >= std::min(limit, wanted));
+        if (leastUnmet != ~0U)
+            RC_ASSERT(mostLeased <= leastUnmet + 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BudgetHistoryTest);
+
+} // namespace
