--- /dev/null
+++ b/packages/state/ggv/state/steering/fwd.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace ggv {
+
+enum class Proximity : std::uint8_t;
+struct TargetCandidate;
+struct ChoicePolicy;
+class TargetOrder;
+struct DrainWindow;
+struct ShiftRampPolicy;
+class ShiftRamp;
+class ClientBlockIndex;
+struct LookupView;
+struct LookupQuery;
+struct LookupHost;
+class LookupAnswer;
+class LookupTable;
+
+} // namespace ggv
