--- a/packages/state/bench/decision/lease_pool.cpp
+++ b/packages/state/bench/decision/lease_pool.cpp
@@ -47,6 +47,10 @@
 {
     std::vector<std::uint32_t> shares(m_accounts.size(), 0);
     std::uint32_t left = m_limit;
+    for (const auto home : m_homes) {
+        shares[home] = std::min(m_accounts[home].wanted, initialShare(home));
+        left -= shares[home];
+    }
     for (bool isMoving = true; isMoving && left > 0;) {
         isMoving = false;
         const auto hungry
--- a/packages/state/bench/decision/lease_pool.hpp
+++ b/packages/state/bench/decision/lease_pool.hpp
@@ -9,8 +9,9 @@
 /**
  * @brief Stand-in for the grantor of one shared limit.
  *
- * Shares follow what the hosts want; the sum of all shares that may still be in use stays within
- * the limit although requests and grants take time.
+ * A home that wants its part of the limit gets it; the rest follows what all hosts want. The sum of
+ * all shares that may still be in use stays within the limit although requests and grants take
+ * time.
  */
 class LeasePool
 {
--- a/packages/state/ggv/state/steering/slot_demand.cpp
+++ b/packages/state/ggv/state/steering/slot_demand.cpp
@@ -9,39 +9,44 @@
 
 namespace {
 
-//! Spreads over the targets of one proximity, evenly; returns what they cannot hold.
-double spreadOver(Proximity proximity, double needed, std::span<const DemandTarget> targets,
-                  std::span<std::uint32_t> wanted) noexcept
+//! Asks evenly at the targets of one proximity; returns how many of the slots are leased already.
+double askAt(Proximity proximity, double needed, std::span<const DemandTarget> targets,
+             std::span<std::uint32_t> wanted) noexcept
 {
     const auto isUsable = [proximity](const DemandTarget &target) {
         return target.proximity == proximity && target.slots > 0;
     };
     auto remaining = std::ranges::count_if(targets, isUsable);
+    double leased = 0.0;
     for (std::size_t n = 0; n < targets.size() && needed > 0.0; ++n) {
         if (!isUsable(targets[n]))
             continue;
         const auto share = std::ceil(needed / static_cast<double>(remaining--));
         wanted[n] = std::min(targets[n].slots, static_cast<std::uint32_t>(share));
         needed -= wanted[n];
+        leased += std::min(wanted[n], targets[n].leased);
     }
-    return std::max(needed, 0.0);
+    return leased;
 }
 
 } // namespace
 
-double neededSlots(double arrivalsPerSecond, Duration serviceTime, double margin) noexcept
+double offeredLoad(double arrivalsPerSecond, Duration serviceTime) noexcept
 {
-    const double load = arrivalsPerSecond * std::chrono::duration<double>(serviceTime).count();
-    return load + margin * std::sqrt(load);
+    return arrivalsPerSecond * std::chrono::duration<double>(serviceTime).count();
 }
 
-void spreadDemand(double needed, double farLimit, std::span<const DemandTarget> targets,
-                  std::span<std::uint32_t> wanted) noexcept
+void spreadDemand(double load, double farLimit, std::span<const DemandTarget> targets,
+                  std::span<std::uint32_t> wanted, const DemandPolicy &policy) noexcept
 {
     std::ranges::fill(wanted, 0);
-    needed = spreadOver(Proximity::SameDomain, needed, targets, wanted);
-    needed = spreadOver(Proximity::SameRegion, needed, targets, wanted);
-    (void)spreadOver(Proximity::OtherRegion, std::min(needed, farLimit), targets, wanted);
+    const double deviation = std::sqrt(load);
+    const double ownDomain = load + policy.ownDomainMargin * deviation;
+    double leased = askAt(Proximity::SameDomain, ownDomain, targets, wanted);
+    const double ownRegion = load + policy.ownRegionMargin * deviation - leased;
+    leased += askAt(Proximity::SameRegion, ownRegion, targets, wanted);
+    const double otherRegion = load + policy.otherRegionMargin * deviation - leased;
+    (void)askAt(Proximity::OtherRegion, std::min(otherRegion, farLimit), targets, wanted);
 }
 
 } // namespace ggv
