Let look-ups move callers by load and capacity of failure domains

Cause of most of the shed after a loss: a region's own hosts must first lease slots elsewhere, and every home host keeps its margin, so that at most 20 to 30 % of the shift caps came into use. Look-ups that name entry hosts where capacity is spare use the fixed shares there, and no link. Ruled out: narrower margins. Callers moved by look-ups are not yet counted against shift caps; that comes next.

--- a/packages/state/bench/decision/policy.cpp
+++ b/packages/state/bench/decision/policy.cpp
@@ -6,7 +6,7 @@
 
 Policy own(const char *name)
 {
-    return { name, &HostDecisions::chooseOwn, {}, Spread::NearestSpare };
+    return { name, &HostDecisions::chooseOwn, {}, Spread::Declustered, true, {} };
 }
 
 Policy baseline(const char *name, Policy::Choose choose)
@@ -16,7 +16,7 @@
     options.hasAdmission = false;
     options.hasDrainSchedule = false;
     options.hasRetryBudget = false;
-    return { name, choose, options, Spread::NearestSpare };
+    return { name, choose, options, Spread::NearestSpare, false, {} };
 }
 
 } // namespace
@@ -24,8 +24,11 @@
 std::vector<Policy> policies()
 {
     std::vector<Policy> all { own("ggv") };
-    all.push_back(own("ggv-declustered"));
-    all.back().spread = Spread::Declustered;
+    all.push_back(own("ggv-home-callers"));
+    all.back().hasEntryWeights = false;
+    all.push_back(own("ggv-nearest-spare"));
+    all.back().hasEntryWeights = false;
+    all.back().spread = Spread::NearestSpare;
     all.push_back(own("ggv-lifo"));
     all.back().options.queueOrder = QueueOrder::AdaptiveLifo;
     all.push_back(own("ggv-fixed-limit"));
--- a/packages/state/bench/decision/policy.hpp
+++ b/packages/state/bench/decision/policy.hpp
@@ -2,6 +2,8 @@
 
 #include "host_decisions.hpp"
 
+#include <ggv/state/steering/entry_weights.hpp>
+
 #include <string>
 #include <vector>
 
@@ -22,6 +24,8 @@
     Choose choose = nullptr;
     DecisionOptions options;
     Spread spread = Spread::NearestSpare;
+    bool hasEntryWeights = false; //!< Look-ups move callers by load and capacity.
+    EntryWeightPolicy entryWeights;
 };
 
 //! @return All policies; the first one is the system's own.
--- a/packages/state/bench/decision/simulation.cpp
+++ b/packages/state/bench/decision/simulation.cpp
@@ -2,6 +2,8 @@
 
 #include "lease_pool.hpp"
 
+#include <ggv/state/steering/entry_weights.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -27,6 +29,9 @@
 constexpr Duration CallerRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration LeasePeriod = std::chrono::milliseconds(500);
 constexpr Duration MessageLag = std::chrono::milliseconds(500);
+constexpr Duration LookUpPeriod = std::chrono::milliseconds(500);
+//! Periods until callers use a computed weight: reports that lag 1 s and answers cached for 1 s.
+constexpr std::size_t LookUpLag = 4;
 constexpr Duration TickPeriod = std::chrono::milliseconds(5);
 constexpr Duration DrainPeriod = std::chrono::milliseconds(100);
 //! Service time of a request whose answer is not in the region's caches, relative to one that is.
@@ -114,6 +119,7 @@
     // Callers.
     void onArrival(std::uint32_t domain, std::uint32_t service);
     void callHost(std::uint32_t request);
+    [[nodiscard]] std::size_t pickEntryDomain(std::size_t domain, std::size_t service);
     [[nodiscard]] std::uint32_t pickHost(std::size_t domain);
     void end(std::uint32_t request, Ending ending, Duration hint = Duration::zero());
 
@@ -154,6 +160,8 @@
     void onLeaseGranted(std::uint32_t host, std::uint32_t slot);
     void onReports(std::uint32_t, std::uint32_t);
     void onReportsArrive(std::uint32_t slot, std::uint32_t);
+    void onLookUpUpdate(std::uint32_t, std::uint32_t);
+    [[nodiscard]] std::array<DomainLoad, DomainCount> domainLoads(std::size_t service);
     [[nodiscard]] HostShares renewAll(std::size_t host, const HostDecisions::Wants &wants);
     [[nodiscard]] bool areReportsStopped() const;
 
@@ -172,6 +180,10 @@
     std::array<std::vector<Target>, ServiceCount> m_targets;
     std::array<std::array<Instant, RegionCount>, RegionCount> m_linkFreeAt {};
     std::array<std::array<std::array<double, RegionCount>, RegionCount>, ServiceCount> m_shifted {};
+    using EntryWeights
+        = std::array<std::array<std::array<double, DomainCount>, DomainCount>, ServiceCount>;
+    std::array<std::array<std::uint32_t, DomainCount>, ServiceCount> m_arrivalCounts {};
+    std::deque<EntryWeights> m_entryWeights; //!< Oldest first; callers use the oldest.
     Grantor m_grantor;
     std::vector<HostDecisions::Wants> m_wants;
     std::vector<HostShares> m_grants;
@@ -226,6 +238,7 @@
         schedule(Instant { Duration(50'000) * n }, &Simulation::onLeaseRequest, n);
     schedule(Instant {}, &Simulation::onTick);
     schedule(Instant {}, &Simulation::onReports);
+    schedule(Instant { LookUpPeriod }, &Simulation::onLookUpUpdate);
     schedule(FaultStart, &Simulation::onFault);
     if (m_scenario.drain)
         schedule(FaultStart, &Simulation::onDrainTick);
@@ -327,18 +340,33 @@
 {
     auto &it = m_requests[request];
     const auto domain = it.callerDomain;
-    it.host = pickHost(domain);
+    const auto entry = pickEntryDomain(domain, it.service);
+    it.host = pickHost(entry);
     it.deadlineAt = m_now + m_deployment.services[it.service].deadline;
     it.callerDelay = m_deployment.toCallers;
     const auto hostDomain = m_hosts[it.host].domain();
     if (hostDomain != domain)
         it.callerDelay += m_deployment.delay(domain, hostDomain);
-    const bool isStale
-        = m_scenario.isHostLost(domain, m_now) && m_now < FaultStart + LookUpLifetime;
+    const bool isStale = m_scenario.isHostLost(entry, m_now) && m_now < FaultStart + LookUpLifetime;
     const auto connect = isStale ? ConnectTimeout : Duration::zero();
     schedule(m_now + connect + it.callerDelay, &Simulation::onHostReceives, request, it.generation);
 }
 
+std::size_t Simulation::pickEntryDomain(std::size_t domain, std::size_t service)
+{
+    ++m_arrivalCounts[service][domain];
+    const double draw = uniformFraction(m_network);
+    if (!m_policy.hasEntryWeights || m_entryWeights.empty())
+        return domain;
+    double sum = 0.0;
+    for (std::size_t n = 0; n < DomainCount; ++n) {
+        sum += m_entryWeights.front()[service][domain][n];
+        if (draw < sum)
+            return n;
+    }
+    return domain;
+}
+
 std::uint32_t Simulation::pickHost(std::size_t domain)
 {
     const bool isLost = m_scenario.isHostLost(domain, m_now);
@@ -768,6 +796,42 @@
     }
 }
 
+void Simulation::onLookUpUpdate(std::uint32_t, std::uint32_t)
+{
+    if (m_now >= RunEnd || areReportsStopped())
+        return;
+    schedule(m_now + LookUpPeriod, &Simulation::onLookUpUpdate);
+    m_entryWeights.push_back({});
+    for (std::size_t service = 0; service < ServiceCount; ++service) {
+        const auto loads = domainLoads(service);
+        for (std::size_t from = 0; from < DomainCount; ++from)
+            entryWeights(loads, from, m_policy.entryWeights, m_entryWeights.back()[service][from]);
+    }
+    m_arrivalCounts = {};
+    if (m_entryWeights.size() > LookUpLag)
+        m_entryWeights.pop_front();
+}
+
+std::array<DomainLoad, DomainCount> Simulation::domainLoads(std::size_t service)
+{
+    const auto &model = m_deployment.services[service];
+    const double mean = std::chrono::duration<double>(model.meanServiceTime).count();
+    const double period = std::chrono::duration<double>(LookUpPeriod).count();
+    std::array<DomainLoad, DomainCount> loads;
+    for (std::size_t n = 0; n < DomainCount; ++n) {
+        loads[n].region = regionOf(n);
+        loads[n].demand = m_arrivalCounts[service][n] / period * mean;
+        loads[n].hasEntryHost = !m_scenario.isHostLost(n, m_now);
+    }
+    for (std::size_t n = 0; n < m_targets[service].size(); ++n) {
+        const auto domain = domainOfTarget(n);
+        const bool isLost = m_scenario.isTargetLost(domain, m_now - ConnectTimeout);
+        const double share = isLost ? 0.0 : m_scenario.plannedWeight(domain, m_now);
+        loads[domain].capacity += share * model.slots / m_scenario.serviceFactor(n, m_now);
+    }
+    return loads;
+}
+
 HostShares Simulation::renewAll(std::size_t host, const HostDecisions::Wants &wants)
 {
     HostShares shares;
