Count callers that look-ups move against the shift caps

Any shift stays under its cap, whichever way it goes: an entry host counts a request of another region's callers against its leased share of that shift and sheds what is over it.

--- a/packages/state/bench/decision/host_decisions.cpp
+++ b/packages/state/bench/decision/host_decisions.cpp
@@ -41,7 +41,8 @@
     for (const auto &model : deployment.services) {
         auto &service = m_services.emplace_back();
         service.queue = WaitQueue({ .capacity = 256, .order = options.queueOrder });
-        service.ramps.fill(ShiftRamp(options.ramp));
+        for (auto &it : service.ramps)
+            it.fill(ShiftRamp(options.ramp));
         service.serviceTime = static_cast<double>(model.meanServiceTime.count());
         for (std::size_t n = 0; n < model.targets; ++n) {
             auto &view = service.targets.emplace_back();
@@ -125,6 +126,16 @@
     return decideAdmission(load, timeLeft, m_options.shed);
 }
 
+bool HostDecisions::admitGuest(std::size_t service, std::size_t homeRegion, Instant now)
+{
+    const auto region = regionOf(m_domain);
+    if (!m_options.hasCaps || homeRegion == region)
+        return true;
+    auto &view = m_services[service];
+    ++view.shiftTries[homeRegion][region];
+    return view.ramps[homeRegion][region].tryShift(view.shiftShares[homeRegion][region], now);
+}
+
 Duration HostDecisions::retryAfter(std::size_t service, Duration shortest, Instant now)
 {
     return m_services[service].storm.onShed(shortest, m_random, now);
@@ -149,8 +160,9 @@
     if (it.proximity != Proximity::OtherRegion || !m_options.hasCaps)
         return;
     const auto region = regionOf(it.domain);
-    (void)view.ramps[region].tryShift(view.shiftShares[region], now);
-    ++view.shiftTries[region];
+    const auto home = regionOf(m_domain);
+    (void)view.ramps[home][region].tryShift(view.shiftShares[home][region], now);
+    ++view.shiftTries[home][region];
     m_links[region].tokens -= m_deployment.services[service].answerBytes;
 }
 
@@ -219,15 +231,15 @@
         const double arrivalRate = view.arrivals / toSeconds(LeasePeriod);
         view.arrivalRate += ArrivalRateStep * (arrivalRate - view.arrivalRate);
         wantSlots(service, wants.wanted);
+        wantShifts(service, wants.wanted);
         for (std::size_t region = 0; region < RegionCount; ++region) {
-            const double rate = view.shiftTries[region] / toSeconds(LeasePeriod);
-            wants.wanted.shifts[service][region]
-                = static_cast<std::uint32_t>(std::ceil(rate * WantedMargin));
+            const double rate
+                = view.shiftTries[regionOf(m_domain)][region] / toSeconds(LeasePeriod);
             wants.wanted.links[region] += static_cast<std::uint32_t>(
                 std::ceil(rate * WantedMargin * m_deployment.services[service].answerBytes
                           / BytesPerKilobit));
         }
-        view.shiftTries.fill(0);
+        view.shiftTries = {};
         view.arrivals = 0;
     }
     for (std::size_t region = 0; region < RegionCount; ++region)
@@ -302,8 +314,9 @@
 bool HostDecisions::mayShift(std::size_t service, std::size_t region, Instant now)
 {
     auto &view = m_services[service];
+    const auto home = regionOf(m_domain);
     return m_links[region].tokens > 0.0
-        && view.ramps[region].canShift(view.shiftShares[region], now);
+        && view.ramps[home][region].canShift(view.shiftShares[home][region], now);
 }
 
 std::uint32_t HostDecisions::nearSlots(const ServiceView &view) const
@@ -328,7 +341,7 @@
     const bool mayUseFixedShare = now >= m_sharesRequestedAt + LeaseLifetime + LeaseGrace;
     for (std::size_t service = 0; service < ServiceCount; ++service) {
         auto &view = m_services[service];
-        view.shiftShares.fill(0);
+        view.shiftShares = {};
         for (auto &it : view.targets) {
             const bool isOwn = it.domain == m_domain;
             const auto fixed = isOwn ? it.fixedShare : 0;
@@ -342,10 +355,11 @@
     const auto &view = m_services[service];
     std::vector<DemandTarget> targets;
     double farLimit = 0.0;
+    const auto home = regionOf(m_domain);
     for (const auto &it : view.targets)
         targets.push_back({ it.proximity, isWanted(it) ? it.slots : 0, it.leased });
     for (std::size_t region = 0; region < RegionCount; ++region)
-        farLimit += region == regionOf(m_domain) ? 0.0 : view.shiftShares[region];
+        farLimit += region == home ? 0.0 : view.shiftShares[home][region];
     const double seconds = view.serviceTime / Duration::period::den;
     const double load = offeredLoad(view.arrivalRate, expectedServiceTime(view));
     auto &slots = wanted.slots[service];
@@ -353,6 +367,18 @@
     spreadDemand(load, farLimit * seconds, targets, slots, m_options.demand);
 }
 
+void HostDecisions::wantShifts(std::size_t service, HostShares &wanted) const
+{
+    const auto &tries = m_services[service].shiftTries;
+    for (std::size_t home = 0; home < RegionCount; ++home) {
+        for (std::size_t region = 0; region < RegionCount; ++region) {
+            const double rate = tries[home][region] / toSeconds(LeasePeriod);
+            wanted.shifts[service][home][region]
+                = static_cast<std::uint32_t>(std::ceil(rate * WantedMargin));
+        }
+    }
+}
+
 bool HostDecisions::isWanted(const TargetView &view) const
 {
     const bool isSpare = !m_spareRegion || view.proximity != Proximity::OtherRegion
--- a/packages/state/bench/decision/host_decisions.hpp
+++ b/packages/state/bench/decision/host_decisions.hpp
@@ -33,11 +33,14 @@
     DemandPolicy demand;
 };
 
+//! Requests/s that may move, by home region of the callers and region of the targets.
+using ShiftShares = std::array<std::array<std::uint32_t, RegionCount>, RegionCount>;
+
 //! Shares of all limits of one host.
 struct HostShares
 {
     std::array<std::vector<std::uint32_t>, ServiceCount> slots; //!< By target.
-    std::array<std::array<std::uint32_t, RegionCount>, ServiceCount> shifts {}; //!< Requests/s.
+    std::array<ShiftShares, ServiceCount> shifts {};
     std::array<std::uint32_t, RegionCount> links {}; //!< kbit/s towards this host.
 };
 
@@ -57,6 +60,11 @@
     //! @return What to do with a request that arrives.
     [[nodiscard]] AdmissionDecision admit(std::size_t service, bool hasFreeSlot, Duration timeLeft,
                                           Instant now);
+    /**
+     * @brief Counts a request of another region's caller against the shift to this region.
+     * @return False if the cap is reached, so that the request must be shed.
+     */
+    [[nodiscard]] bool admitGuest(std::size_t service, std::size_t homeRegion, Instant now);
     //! @return Retry-After for a request that is shed.
     [[nodiscard]] Duration retryAfter(std::size_t service, Duration shortest, Instant now);
 
@@ -116,9 +124,9 @@
         WaitQueue queue;
         RetryBudget retries;
         RetryStormGuard storm;
-        std::array<ShiftRamp, RegionCount> ramps;
-        std::array<std::uint32_t, RegionCount> shiftShares {};
-        std::array<std::uint32_t, RegionCount> shiftTries {}; //!< In this period.
+        std::array<std::array<ShiftRamp, RegionCount>, RegionCount> ramps;
+        ShiftShares shiftShares {};
+        ShiftShares shiftTries {}; //!< In this period.
         double serviceTime = 0.0; //!< Recent, in microseconds, network included.
         std::uint32_t arrivals = 0; //!< In this period.
         double arrivalRate = 0.0; //!< Recent, per second.
@@ -145,6 +153,7 @@
     [[nodiscard]] Duration expectedServiceTime(const ServiceView &view) const;
     void expireShares(Instant now);
     [[nodiscard]] bool isWanted(const TargetView &view) const;
+    void wantShifts(std::size_t service, HostShares &wanted) const;
     void wantSlots(std::size_t service, HostShares &wanted) const;
 
     const Deployment &m_deployment;
--- a/packages/state/bench/decision/lease_pool.cpp
+++ b/packages/state/bench/decision/lease_pool.cpp
@@ -28,6 +28,12 @@
     return grant;
 }
 
+void LeasePool::expire(std::size_t host)
+{
+    m_accounts[host] = {};
+    m_accounts[host].grants.assign(UnheardGrants, 0);
+}
+
 std::uint32_t LeasePool::initialShare(std::size_t host) const
 {
     const auto it = std::ranges::find(m_homes, host);
--- a/packages/state/bench/decision/lease_pool.hpp
+++ b/packages/state/bench/decision/lease_pool.hpp
@@ -33,6 +33,9 @@
      */
     [[nodiscard]] std::uint32_t renew(std::size_t host, std::uint32_t held, std::uint32_t wanted);
 
+    //! Takes back the share of a host whose leases have expired.
+    void expire(std::size_t host);
+
     //! @return Share of a host at the start: the limit split between the homes.
     [[nodiscard]] std::uint32_t initialShare(std::size_t host) const;
 
--- a/packages/state/bench/decision/scenario.cpp
+++ b/packages/state/bench/decision/scenario.cpp
@@ -30,19 +30,6 @@
     return capacity;
 }
 
-//! Callers of lost entry hosts may use any other one, so their demand fits anywhere.
-double freeDemand(double perDomain, const Scenario &scenario, Instant now, PerRegion &demand)
-{
-    double unbound = 0.0;
-    for (std::size_t domain = 0; domain < DomainCount; ++domain) {
-        if (scenario.isHostLost(domain, now))
-            unbound += perDomain;
-        else
-            demand[regionOf(domain)] += perDomain;
-    }
-    return unbound;
-}
-
 //! Greatest flow from demand to capacity: own region first, then as the caps allow.
 double served(const PerRegion &demand, PerRegion capacity, double cap)
 {
@@ -68,13 +55,8 @@
 double shedRate(const ServiceModel &service, const Scenario &scenario, Instant now, double arrivals)
 {
     PerRegion demand {};
-    const double unbound = freeDemand(arrivals / DomainCount, scenario, now, demand);
-    const auto capacity = capacityAt(service, scenario, now);
-    double whole = 0.0;
-    for (const auto it : capacity)
-        whole += it;
-    const double bound = served(demand, capacity, service.shiftCap);
-    return arrivals - std::min(whole, bound + unbound);
+    demand.fill(arrivals / RegionCount);
+    return arrivals - served(demand, capacityAt(service, scenario, now), service.shiftCap);
 }
 
 } // namespace
--- a/packages/state/bench/decision/simulation.cpp
+++ b/packages/state/bench/decision/simulation.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <deque>
 #include <numbers>
+#include <numeric>
 #include <queue>
 #include <tuple>
 #include <utility>
@@ -28,6 +29,8 @@
 constexpr Duration LookUpLifetime = std::chrono::seconds(2);
 constexpr Duration CallerRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration LeasePeriod = std::chrono::milliseconds(500);
+//! Lease and the requests that were sent under it.
+constexpr Duration LeaseLifetime = std::chrono::seconds(4);
 constexpr Duration MessageLag = std::chrono::milliseconds(500);
 constexpr Duration LookUpPeriod = std::chrono::milliseconds(500);
 //! Periods until callers use a computed weight: reports that lag 1 s and answers cached for 1 s.
@@ -158,6 +161,7 @@
     void onLeaseRequest(std::uint32_t host, std::uint32_t);
     void onLeaseProcessed(std::uint32_t host, std::uint32_t slot);
     void onLeaseGranted(std::uint32_t host, std::uint32_t slot);
+    void onLeasesExpired(std::uint32_t, std::uint32_t);
     void onReports(std::uint32_t, std::uint32_t);
     void onReportsArrive(std::uint32_t slot, std::uint32_t);
     void onLookUpUpdate(std::uint32_t, std::uint32_t);
@@ -240,6 +244,7 @@
     schedule(Instant {}, &Simulation::onReports);
     schedule(Instant { LookUpPeriod }, &Simulation::onLookUpUpdate);
     schedule(FaultStart, &Simulation::onFault);
+    schedule(FaultStart + LeaseLifetime, &Simulation::onLeasesExpired);
     if (m_scenario.drain)
         schedule(FaultStart, &Simulation::onDrainTick);
     while (!m_events.empty()) {
@@ -272,6 +277,8 @@
         byDomain[m_hosts[n].domain()].push_back(n);
         byRegion[regionOf(m_hosts[n].domain())].push_back(n);
     }
+    std::vector<std::size_t> everyHost(m_hosts.size());
+    std::iota(everyHost.begin(), everyHost.end(), std::size_t { 0 });
     const auto kilobits = m_deployment.linkBitsPerSecond * LeasedLinkShare / 1e3;
     for (std::size_t from = 0; from < RegionCount; ++from) {
         for (std::size_t to = 0; to < RegionCount; ++to) {
@@ -279,7 +286,7 @@
                                                m_hosts.size());
             for (std::size_t n = 0; n < ServiceCount; ++n)
                 m_grantor.shifts[n][from].emplace_back(
-                    static_cast<std::uint32_t>(m_deployment.services[n].shiftCap), byRegion[from],
+                    static_cast<std::uint32_t>(m_deployment.services[n].shiftCap), everyHost,
                     m_hosts.size());
         }
     }
@@ -300,9 +307,10 @@
                 shares.slots[n].push_back(share);
                 m_hosts[host].onFixedShare(n, target, share);
             }
-            for (std::size_t to = 0; to < RegionCount; ++to)
-                shares.shifts[n][to]
-                    = m_grantor.shifts[n][regionOf(m_hosts[host].domain())][to].initialShare(host);
+            for (std::size_t from = 0; from < RegionCount; ++from) {
+                for (std::size_t to = 0; to < RegionCount; ++to)
+                    shares.shifts[n][from][to] = m_grantor.shifts[n][from][to].initialShare(host);
+            }
         }
         for (std::size_t to = 0; to < RegionCount; ++to)
             shares.links[to]
@@ -423,6 +431,14 @@
     }
     schedule(it.deadlineAt - it.callerDelay, &Simulation::onDeadline, request, generation);
     m_hosts[it.host].onRequest(it.service, m_now);
+    const auto home = regionOf(it.callerDomain);
+    const auto region = regionOf(m_hosts[it.host].domain());
+    if (!m_hosts[it.host].admitGuest(it.service, home, m_now)) {
+        shed(request, Duration::zero());
+        return;
+    }
+    if (home != region)
+        m_measurements.onShift(it.service, home, region, m_now);
     admit(request);
 }
 
@@ -771,6 +787,26 @@
         serveQueue(host, service);
 }
 
+void Simulation::onLeasesExpired(std::uint32_t, std::uint32_t)
+{
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (!m_scenario.isHostLost(m_hosts[host].domain(), m_now))
+            continue;
+        for (std::size_t service = 0; service < ServiceCount; ++service) {
+            for (auto &it : m_grantor.slots[service])
+                it.expire(host);
+            for (auto &row : m_grantor.shifts[service]) {
+                for (auto &it : row)
+                    it.expire(host);
+            }
+        }
+        for (auto &row : m_grantor.links) {
+            for (auto &it : row)
+                it.expire(host);
+        }
+    }
+}
+
 void Simulation::onReports(std::uint32_t, std::uint32_t)
 {
     if (m_now >= RunEnd || areReportsStopped())
@@ -840,9 +876,11 @@
         for (std::size_t target = 0; target < m_targets[n].size(); ++target)
             shares.slots[n].push_back(m_grantor.slots[n][target].renew(
                 host, wants.held.slots[n][target], wants.wanted.slots[n][target]));
-        for (std::size_t to = 0; to < RegionCount; ++to)
-            shares.shifts[n][to] = m_grantor.shifts[n][from][to].renew(
-                host, wants.held.shifts[n][to], wants.wanted.shifts[n][to]);
+        for (std::size_t home = 0; home < RegionCount; ++home) {
+            for (std::size_t to = 0; to < RegionCount; ++to)
+                shares.shifts[n][home][to] = m_grantor.shifts[n][home][to].renew(
+                    host, wants.held.shifts[n][home][to], wants.wanted.shifts[n][home][to]);
+        }
     }
     for (std::size_t to = 0; to < RegionCount; ++to)
         shares.links[to]
--- a/packages/state/ggv/state/steering/drain_schedule.hpp
+++ b/packages/state/ggv/state/steering/drain_schedule.hpp
@@ -35,7 +35,7 @@
 //! Parameters of a ShiftRamp.
 struct ShiftRampPolicy
 {
-    double startRate = 20.0; //!< Requests/s that a region with cold caches takes over at once.
+    double startRate = 50.0; //!< Requests/s that a region with cold caches takes over at once.
     double growthPerSecond = 0.2; //!< Relative growth of the allowed rate while it is used.
     double decayPerSecond = 0.02; //!< Relative decline while it is not used: caches go cold again.
     double burstSeconds = 0.1; //!< Unused allowance that may be used at once.
