Keep string literals out of co_await expressions

Cause: entry hosts crashed at the first caller. g++ 12 gives a coroutine with a string literal inside a co_await expression a frame that is too small; it is resumed with damaged state. Ruled out: alignment of recycled frames, crossing threads (the same with one loop and with a sanitizer, gone once the text is a named variable).

--- a/packages/coordination/ggv/coordination/entry/entry_service.cpp
+++ b/packages/coordination/ggv/coordination/entry/entry_service.cpp
@@ -4,6 +4,7 @@
 #include <ggv/coordination/entry/query.hpp>
 #include <ggv/coordination/entry/request_driver.hpp>
 #include <ggv/coordination/entry/system_answer.hpp>
+#include <ggv/state/model/endpoint_text.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
 #include <nlohmann/json.hpp>
@@ -22,11 +23,9 @@
     return answer;
 }
 
-std::string textOf(const Endpoint &endpoint)
+HttpAnswer notInForce()
 {
-    const bool isV6 = endpoint.address.find(':') != std::string::npos;
-    const std::string address = isV6 ? "[" + endpoint.address + "]" : endpoint.address;
-    return address + ":" + std::to_string(endpoint.port);
+    return faultAnswer(ResultCode::NoWorkingTarget, "no register is in force yet");
 }
 
 nlohmann::json toJson(const LookupAnswer &found)
@@ -34,7 +33,7 @@
     nlohmann::json hosts = nlohmann::json::array();
     for (const auto &it : found.hosts())
         hosts.push_back({ { "host", it.host->name.text() },
-                          { "address", textOf(it.host->callers) },
+                          { "address", formatEndpoint(it.host->callers) },
                           { "failure_domain", it.host->domain.text() },
                           { "weight", it.weight } });
     const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(found.lifetime());
@@ -82,7 +81,7 @@
 {
     const auto table = m_context.lookups.read();
     if (!table)
-        return faultAnswer(ResultCode::NoWorkingTarget, "no register is in force yet");
+        return notInForce();
     const auto service = queryParameter(query, "service");
     if (!service)
         return faultAnswer(ResultCode::MalformedRequest, "parameter 'service' is missing");
@@ -97,20 +96,26 @@
     return jsonAnswer(toJson(found.value()));
 }
 
+HttpAnswer EntryService::ownAnswer(const ServerExchange &caller, std::string_view name)
+{
+    if (name == "lookup")
+        return lookUp(caller, caller.head().target);
+    return faultAnswer(ResultCode::MalformedRequest, "no such path");
+}
+
 asio::awaitable<void> EntryService::handle(ServerExchange &caller)
 {
     const std::string &target = caller.head().target;
     const std::string_view path = pathOf(target);
     if (path.starts_with(OwnPathPrefix)) {
-        const bool known = path.substr(OwnPathPrefix.size()) == "lookup";
-        co_await caller.answer(known ? lookUp(caller, target)
-                                     : faultAnswer(ResultCode::MalformedRequest, "no such path"));
+        HttpAnswer answer = ownAnswer(caller, path.substr(OwnPathPrefix.size()));
+        co_await caller.answer(std::move(answer));
         co_return;
     }
     auto view = m_context.view.read();
     if (!view) {
-        co_await caller.answer(
-            faultAnswer(ResultCode::NoWorkingTarget, "no register is in force yet"));
+        HttpAnswer answer = notInForce();
+        co_await caller.answer(std::move(answer));
         co_return;
     }
     auto &loop = *m_loops[m_pool.currentNumber()];
--- a/packages/coordination/ggv/coordination/entry/target_board.cpp
+++ b/packages/coordination/ggv/coordination/entry/target_board.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t MaxWaiting = 32'768; //!< Observations between two refreshes.
 constexpr double MaximumDownShare = 0.5;
-constexpr double DemandMargin = 2.0; //!< Standard deviations of the load.
 constexpr double ArrivalRateStep = 0.5; //!< Weight of the newest arrival rate.
 constexpr double ServiceTimeStep = 0.02; //!< Weight of the newest service time.
 constexpr Duration InitialServiceTime = std::chrono::milliseconds(50);
@@ -162,13 +161,12 @@
             const auto proximity = proximityOf(*m_content, m_domain, target->domain);
             const bool works = recordOf(*target).state->weight() > 0.0
                 && recordOf(*target).state->health() <= HealthState::Suspect;
-            possible.push_back({ proximity, works ? target->slots : 0 });
+            possible.push_back({ proximity, works ? target->slots : 0, recordOf(*target).usable });
         }
         std::vector<std::uint32_t> wanted(targets.size());
-        const double needed
-            = neededSlots(record.arrivalsPerSecond,
-                          Duration(static_cast<Duration::rep>(record.serviceTime)), DemandMargin);
-        spreadDemand(needed, farLimit(service), possible, wanted);
+        const Duration serviceTime(static_cast<Duration::rep>(record.serviceTime));
+        spreadDemand(offeredLoad(record.arrivalsPerSecond, serviceTime), farLimit(service),
+                     possible, wanted);
         for (std::size_t n = 0; n < targets.size(); ++n) {
             const auto inFlight = recordOf(*targets[n]).state->inFlight();
             demands.push_back({ { BudgetKind::TargetSlots, targets[n]->name.text() },
--- a/packages/coordination/ggv/coordination/operators/operator_api.cpp
+++ b/packages/coordination/ggv/coordination/operators/operator_api.cpp
@@ -156,12 +156,14 @@
             return entry.method == head.method && entry.path == path;
         });
         if (it == table.end()) {
-            co_await caller.answer(faultAnswer(ResultCode::UnknownEntity, "no such path"));
+            HttpAnswer reply = faultAnswer(ResultCode::UnknownEntity, "no such path");
+            co_await caller.answer(std::move(reply));
             co_return;
         }
         const std::string name = operatorOf(head);
         if (!it->open && name.empty()) {
-            co_await caller.answer(faultAnswer(ResultCode::NotAuthorized, "token is not known"));
+            HttpAnswer reply = faultAnswer(ResultCode::NotAuthorized, "token is not known");
+            co_await caller.answer(std::move(reply));
             co_return;
         }
         co_await (this->*it->route)(caller, name);
@@ -188,14 +190,15 @@
 
     asio::awaitable<void> health(ServerExchange &caller, const std::string &)
     {
-        co_await caller.answer(textAnswer(200, "ok\n"));
+        HttpAnswer reply = textAnswer(200, "ok\n");
+        co_await caller.answer(std::move(reply));
     }
 
     asio::awaitable<void> ready(ServerExchange &caller, const std::string &)
     {
         const bool serves = m_context.view.read() != nullptr && !m_context.leaving;
-        co_await caller.answer(serves ? textAnswer(200, "ready\n")
-                                      : textAnswer(503, "not ready\n"));
+        HttpAnswer reply = serves ? textAnswer(200, "ready\n") : textAnswer(503, "not ready\n");
+        co_await caller.answer(std::move(reply));
     }
 
     asio::awaitable<ControlReport> report()
@@ -216,7 +219,8 @@
     {
         const auto view = m_context.view.read();
         if (!view) {
-            co_await caller.answer(faultAnswer(ResultCode::NoQuorum, "no register is in force"));
+            HttpAnswer reply = faultAnswer(ResultCode::NoQuorum, "no register is in force");
+            co_await caller.answer(std::move(reply));
             co_return;
         }
         HttpAnswer answer = textAnswer(200, formatRegisterToml(view->content().content()));
@@ -242,8 +246,9 @@
         const char *last = expectedText.data() + expectedText.size();
         const auto parsed = std::from_chars(expectedText.data(), last, expected);
         if (!id || id->empty() || parsed.ec != std::errc() || parsed.ptr != last) {
-            co_await caller.answer(faultAnswer(ResultCode::MalformedRequest,
-                                               "parameters 'change' and 'expected' are needed"));
+            HttpAnswer reply = faultAnswer(ResultCode::MalformedRequest,
+                                           "parameters 'change' and 'expected' are needed");
+            co_await caller.answer(std::move(reply));
             co_return;
         }
         const std::string text = co_await readBody(caller);
@@ -307,10 +312,10 @@
         const auto view = m_context.view.read();
         const auto name = queryParameter(caller.head().target, "service").value_or("");
         const auto *service = view ? view->service(name) : nullptr;
-        if (service == nullptr)
-            co_await caller.answer(faultAnswer(ResultCode::NoSuchService, "no such service"));
-        else
-            co_await caller.answer(jsonAnswer(200, explainJson(*service)));
+        HttpAnswer reply = service == nullptr
+            ? faultAnswer(ResultCode::NoSuchService, "no such service")
+            : jsonAnswer(200, explainJson(*service));
+        co_await caller.answer(std::move(reply));
     }
 
     IoPool &m_pool;
--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -75,7 +75,8 @@
     asio::awaitable<void> run()
     {
         if (m_overloaded) {
-            co_await refuse(ResultCode::Overloaded, "too many connections");
+            const std::string message = "too many connections";
+            co_await refuse(ResultCode::Overloaded, message);
             co_return;
         }
         while (co_await readHead()) {
@@ -299,13 +300,15 @@
         co_await http::async_read_header(m_socket, m_buffer, *m_parser,
                                          asio::redirect_error(asio::use_awaitable, ec));
         if (m_timer.disarm()) {
-            co_await refuse(ResultCode::RequestTimedOut, "request head arrives too slowly");
+            const std::string message = "request head arrives too slowly";
+            co_await refuse(ResultCode::RequestTimedOut, message);
             co_return false;
         }
         if (ec && isPeerClose(ec))
             co_return false;
         if (ec) {
-            co_await refuse(faultOf(ec), "request head: " + ec.message());
+            const std::string message = "request head: " + ec.message();
+            co_await refuse(faultOf(ec), message);
             co_return false;
         }
         co_return co_await acceptHead();
