Refuse membership changes that would leave no majority in contact

A removal is begun only if the leader hears a majority of the voters that remain; otherwise it completes with NoQuorum. Cause: a leader removed itself from a quorum of three in which another voter was lost for good; the entry could never be committed and nobody else could win.

--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -54,7 +54,7 @@
     Ticket ticket = 0;
     ResultCode code
         = ResultCode::Ok; //!< Ok, NotLeader (certainly not accepted), ChangeOutcomeUnknown,
-                          //!< NoQuorum (refused to remove the last voter).
+                          //!< NoQuorum (no majority would remain after the removal).
     Bytes answer; //!< Of StateMachine::apply(); empty for a read.
 };
 
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -165,15 +165,23 @@
 
 void Raft::Implementation::checkQuorum()
 {
-    const auto isHeard = [this](MemberId member) {
-        if (member == m_self)
-            return 1U;
-        const auto it = m_progress.find(member);
-        const auto limit = m_now - m_options.electionTimeoutMin;
-        return it != m_progress.end() && it->second.lastContact() > limit ? 1U : 0U;
-    };
-    if (detail::majorityValue(members(), isHeard) == 0)
+    if (!hearsMajorityOf(members()))
         becomeFollower(m_hardState.term);
 }
 
+bool Raft::Implementation::isHeard(MemberId member) const
+{
+    if (member == m_self)
+        return true;
+    const auto it = m_progress.find(member);
+    const Instant limit = m_now - m_options.electionTimeoutMin;
+    return it != m_progress.end() && it->second.lastContact() > limit;
+}
+
+bool Raft::Implementation::hearsMajorityOf(const Membership &membership) const
+{
+    const auto heard = [this](MemberId member) { return isHeard(member) ? 1U : 0U; };
+    return detail::majorityValue(membership, heard) == 1;
+}
+
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -81,6 +81,8 @@
     void becomeFollower(Term term);
     void saveHardState(const HardState &hardState);
     void checkQuorum();
+    [[nodiscard]] bool isHeard(MemberId member) const;
+    [[nodiscard]] bool hearsMajorityOf(const Membership &membership) const;
 
     // --- raft_replication.cpp
     void handle(MemberId from, const AppendRequest &request);
--- a/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
@@ -50,14 +50,15 @@
     }
 }
 
-// Returns false if the change is complete without an entry.
+// Returns false if the change is complete without an entry. Without a majority of the remaining
+// voters the removal could never be committed, and nobody could lead any more.
 bool Raft::Implementation::beginChange(MembershipChange &change)
 {
     const bool present
         = detail::isVoter(members(), change.member) || detail::isLearner(members(), change.member);
     const bool done = change.add ? detail::isVoter(members(), change.member) : !present;
     const Membership reduced = detail::without(members(), change.member);
-    if (done || (!change.add && reduced.voters.empty())) {
+    if (done || (!change.add && !hearsMajorityOf(reduced))) {
         complete(change.ticket, done ? ResultCode::Ok : ResultCode::NoQuorum);
         return false;
     }
@@ -72,8 +73,9 @@
 void Raft::Implementation::promoteLearner()
 {
     for (const MemberId learner : members().learners) {
-        if (isCaughtUp(learner)) {
-            proposeMembership(detail::withVoter(members(), learner));
+        const Membership extended = detail::withVoter(members(), learner);
+        if (isCaughtUp(learner) && hearsMajorityOf(extended)) {
+            proposeMembership(extended);
             return;
         }
     }
@@ -84,8 +86,7 @@
     const auto it = m_progress.find(learner);
     if (it == m_progress.end() || it->second.match() < m_members.currentIndex())
         return false;
-    const bool isHeard = it->second.lastContact() > m_now - m_options.electionTimeoutMin;
-    return isHeard && it->second.match() + MaxPromotionLag >= m_log.lastIndex();
+    return isHeard(learner) && it->second.match() + MaxPromotionLag >= m_log.lastIndex();
 }
 
 void Raft::Implementation::proposeMembership(const Membership &membership)
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(lostDiskReturnsAsNewMemberBeforeSecondLoss);
     CPPUNIT_TEST(removedLeaderHandsOver);
     CPPUNIT_TEST(lastVoterStays);
+    CPPUNIT_TEST(refusesRemovalsThatLeaveNoMajority);
     CPPUNIT_TEST(unreachableLearnerBlocksNothing);
     CPPUNIT_TEST(changesOfMembershipAreRepeatable);
     CPPUNIT_TEST(wrongFirstVotersFoundNoSecondQuorum);
@@ -178,6 +179,19 @@
         cluster.checkOutcome();
     }
 
+    void refusesRemovalsThatLeaveNoMajority()
+    {
+        Cluster cluster(3, 13);
+        Member &leader = cluster.waitForLeader();
+        const MemberId down = leader.id % 3 + 1;
+        cluster.crash(cluster.member(down));
+        cluster.run(Milliseconds(1500));
+        const Ticket removal = cluster.changeMember(leader, down % 3 + 1, false);
+        cluster.run(Milliseconds(200));
+        CPPUNIT_ASSERT(ResultCode::NoQuorum == cluster.outcome(removal));
+        cluster.checkOutcome();
+    }
+
     void unreachableLearnerBlocksNothing()
     {
         Cluster cluster(3, 10);
@@ -285,6 +299,8 @@
     CPPUNIT_TEST(firstLeaderNeedsEveryVoter);
     CPPUNIT_TEST(commitsOnlyByEntriesOfItsTerm);
     CPPUNIT_TEST(changesMembersOnlyAfterCommitOfItsTerm);
+    CPPUNIT_TEST(promotesOnlyLearnersThatHaveCaughtUp);
+    CPPUNIT_TEST(forgetsTheMembershipOfACutEntry);
     CPPUNIT_TEST(syncsOnceForManyProposals);
     CPPUNIT_TEST(failedSyncLetsNothingOut);
     CPPUNIT_TEST(refusesLogThatIsNewerThanHardState);
@@ -365,6 +381,40 @@
         CPPUNIT_ASSERT(std::vector<MemberId> { 4 } == solo.raft->status().learners);
     }
 
+    void promotesOnlyLearnersThatHaveCaughtUp()
+    {
+        FakeDisk disk;
+        Solo solo(disk);
+        solo.lead();
+        const auto acknowledge = [&solo](MemberId member, LogIndex index) {
+            static_cast<void>(solo.receive(member, AppendAnswer { 1, true, index, 1 }));
+        };
+        acknowledge(2, 1);
+        static_cast<void>(solo.raft->addMember(4, solo.now));
+        static_cast<void>(solo.raft->takeOutput());
+        const LogIndex added = solo.raft->status().lastIndex;
+        for (std::uint64_t command = 1; command <= 100; ++command)
+            static_cast<void>(solo.raft->propose(encodeNumber(command), solo.now));
+        static_cast<void>(solo.raft->takeOutput());
+        acknowledge(2, added);
+        acknowledge(4, added);
+        CPPUNIT_ASSERT(std::vector<MemberId> { 4 } == solo.raft->status().learners);
+        acknowledge(4, added + 100);
+        CPPUNIT_ASSERT(solo.raft->status().learners.empty());
+    }
+
+    void forgetsTheMembershipOfACutEntry()
+    {
+        FakeDisk disk;
+        Solo solo(disk);
+        const LogEntry removal { 1, 1, 1, encodeMembership({ { 1, 2 }, {} }) };
+        const LogEntry command { 1, 2, 0, encodeNumber(1) };
+        static_cast<void>(solo.receive(2, AppendRequest { 1, 0, 0, 0, 0, { removal } }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, solo.raft->status().voters.size());
+        static_cast<void>(solo.receive(3, AppendRequest { 2, 0, 0, 0, 0, { command } }));
+        CPPUNIT_ASSERT(Three == solo.raft->status().voters);
+    }
+
     void syncsOnceForManyProposals()
     {
         FakeDisk disk;
