--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -38,7 +38,7 @@
         = std::chrono::milliseconds(1000); //!< Also the length of a leader's lease.
     Duration electionTimeoutMax = std::chrono::milliseconds(2000);
     std::uint32_t maxClockDriftPercent = 5; //!< Shortens the leader's lease.
-    std::uint64_t maxAppendBytes = 1024 * 1024;
+    std::uint64_t maxAppendBytes = std::uint64_t { 1024 } * 1024;
     std::uint64_t snapshotAfterEntries = 1000;
     std::uint64_t seed = 0; //!< Of the election jitter.
 };
--- a/packages/state/ggv/state/storage/log_store.cpp
+++ b/packages/state/ggv/state/storage/log_store.cpp
@@ -259,9 +259,7 @@
             readSegment(first);
         cutTornTails();
         m_synced = lastIndex();
-        if (m_resetInterrupted)
-            discardLog(snapshot.index + 1);
-        else if (snapshot.index > 0)
+        if (snapshot.index > 0)
             dropCovered(snapshot);
         dropEntriesOutside();
     }
@@ -279,14 +277,13 @@
                   std::back_inserter(m_recovered.entries));
     }
 
-    // Only a crash while a snapshot replaced the whole log leaves segments that do not join.
-    void checkFollows(LogIndex first)
+    // Only a crash while a snapshot replaced the whole log leaves segments that do not join; the
+    // earlier ones are then dropped because they do not join the snapshot either.
+    void checkFollows(LogIndex first) const
     {
-        if (m_segments.empty() || first == lastIndex() + 1)
-            return;
-        if (first != m_recovered.snapshot.index + 1)
+        const bool follows = m_segments.empty() || first == lastIndex() + 1;
+        if (!follows && first != m_recovered.snapshot.index + 1)
             throwCorrupt("log files do not join at entry " + std::to_string(first));
-        m_resetInterrupted = true;
     }
 
     // Only after every file was found to join the next one. Entries that survived without a sync
@@ -419,7 +416,6 @@
     std::vector<std::string> m_tornSegments; // End in an unfinished write.
     Bytes m_buffer; // Records of the active segment that are not yet given to the disk.
     LogIndex m_synced = 0;
-    bool m_resetInterrupted = false;
     bool m_failed = false;
 };
 
--- a/packages/state/test/storage/log_store_test.cpp
+++ b/packages/state/test/storage/log_store_test.cpp
@@ -153,6 +153,7 @@
     CPPUNIT_TEST(keepsEverythingAcrossOpens);
     CPPUNIT_TEST(refusesStoreOfAnotherMember);
     CPPUNIT_TEST(refusesLostFiles);
+    CPPUNIT_TEST(refusesFilesThatDoNotJoin);
     CPPUNIT_TEST(refusesEveryFlippedBitOfDurableData);
     CPPUNIT_TEST(crashAtEveryStepKeepsWhatWasSynced);
     CPPUNIT_TEST(syncsOnceForManyEntries);
@@ -202,6 +203,21 @@
         CPPUNIT_ASSERT(ResultCode::StorageCorrupt == openCode(disk));
     }
 
+    void refusesFilesThatDoNotJoin()
+    {
+        FakeDisk disk;
+        const auto store = openStore(disk);
+        store->saveHardState({ 3, 1 });
+        store->append(makeEntries(1, 6, 2));
+        store->saveSnapshot({ 3, 2, {}, {} });
+        store->append(makeEntries(7, 2, 2));
+        store->sync();
+        const std::string name = "q-log.00000000000000000001";
+        disk.truncate(name, disk.size(name) - 60);
+        disk.sync(name);
+        CPPUNIT_ASSERT(ResultCode::StorageCorrupt == openCode(disk));
+    }
+
     void refusesEveryFlippedBitOfDurableData()
     {
         const FakeDisk intact = usedDisk();
