--- a/packages/state/bench/decision/simulation.cpp
+++ b/packages/state/bench/decision/simulation.cpp
@@ -2,10 +2,13 @@
 
 #include "lease_pool.hpp"
 
+#include <ggv/state/steering/entry_weights.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
 #include <numbers>
+#include <numeric>
 #include <queue>
 #include <tuple>
 #include <utility>
@@ -26,7 +29,12 @@
 constexpr Duration LookUpLifetime = std::chrono::seconds(2);
 constexpr Duration CallerRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration LeasePeriod = std::chrono::milliseconds(500);
+//! Lease and the requests that were sent under it.
+constexpr Duration LeaseLifetime = std::chrono::seconds(4);
 constexpr Duration MessageLag = std::chrono::milliseconds(500);
+constexpr Duration LookUpPeriod = std::chrono::milliseconds(500);
+//! Periods until callers use a computed weight: reports that lag 1 s and answers cached for 1 s.
+constexpr std::size_t LookUpLag = 4;
 constexpr Duration TickPeriod = std::chrono::milliseconds(5);
 constexpr Duration DrainPeriod = std::chrono::milliseconds(100);
 //! Service time of a request whose answer is not in the region's caches, relative to one that is.
@@ -114,6 +122,7 @@
     // Callers.
     void onArrival(std::uint32_t domain, std::uint32_t service);
     void callHost(std::uint32_t request);
+    [[nodiscard]] std::size_t pickEntryDomain(std::size_t domain, std::size_t service);
     [[nodiscard]] std::uint32_t pickHost(std::size_t domain);
     void end(std::uint32_t request, Ending ending, Duration hint = Duration::zero());
 
@@ -152,8 +161,11 @@
     void onLeaseRequest(std::uint32_t host, std::uint32_t);
     void onLeaseProcessed(std::uint32_t host, std::uint32_t slot);
     void onLeaseGranted(std::uint32_t host, std::uint32_t slot);
+    void onLeasesExpired(std::uint32_t, std::uint32_t);
     void onReports(std::uint32_t, std::uint32_t);
     void onReportsArrive(std::uint32_t slot, std::uint32_t);
+    void onLookUpUpdate(std::uint32_t, std::uint32_t);
+    [[nodiscard]] std::array<DomainLoad, DomainCount> domainLoads(std::size_t service);
     [[nodiscard]] HostShares renewAll(std::size_t host, const HostDecisions::Wants &wants);
     [[nodiscard]] bool areReportsStopped() const;
 
@@ -172,6 +184,10 @@
     std::array<std::vector<Target>, ServiceCount> m_targets;
     std::array<std::array<Instant, RegionCount>, RegionCount> m_linkFreeAt {};
     std::array<std::array<std::array<double, RegionCount>, RegionCount>, ServiceCount> m_shifted {};
+    using EntryWeights
+        = std::array<std::array<std::array<double, DomainCount>, DomainCount>, ServiceCount>;
+    std::array<std::array<std::uint32_t, DomainCount>, ServiceCount> m_arrivalCounts {};
+    std::deque<EntryWeights> m_entryWeights; //!< Oldest first; callers use the oldest.
     Grantor m_grantor;
     std::vector<HostDecisions::Wants> m_wants;
     std::vector<HostShares> m_grants;
@@ -226,7 +242,9 @@
         schedule(Instant { Duration(50'000) * n }, &Simulation::onLeaseRequest, n);
     schedule(Instant {}, &Simulation::onTick);
     schedule(Instant {}, &Simulation::onReports);
+    schedule(Instant { LookUpPeriod }, &Simulation::onLookUpUpdate);
     schedule(FaultStart, &Simulation::onFault);
+    schedule(FaultStart + LeaseLifetime, &Simulation::onLeasesExpired);
     if (m_scenario.drain)
         schedule(FaultStart, &Simulation::onDrainTick);
     while (!m_events.empty()) {
@@ -259,6 +277,8 @@
         byDomain[m_hosts[n].domain()].push_back(n);
         byRegion[regionOf(m_hosts[n].domain())].push_back(n);
     }
+    std::vector<std::size_t> everyHost(m_hosts.size());
+    std::iota(everyHost.begin(), everyHost.end(), std::size_t { 0 });
     const auto kilobits = m_deployment.linkBitsPerSecond * LeasedLinkShare / 1e3;
     for (std::size_t from = 0; from < RegionCount; ++from) {
         for (std::size_t to = 0; to < RegionCount; ++to) {
@@ -266,7 +286,7 @@
                                                m_hosts.size());
             for (std::size_t n = 0; n < ServiceCount; ++n)
                 m_grantor.shifts[n][from].emplace_back(
-                    static_cast<std::uint32_t>(m_deployment.services[n].shiftCap), byRegion[from],
+                    static_cast<std::uint32_t>(m_deployment.services[n].shiftCap), everyHost,
                     m_hosts.size());
         }
     }
@@ -287,9 +307,10 @@
                 shares.slots[n].push_back(share);
                 m_hosts[host].onFixedShare(n, target, share);
             }
-            for (std::size_t to = 0; to < RegionCount; ++to)
-                shares.shifts[n][to]
-                    = m_grantor.shifts[n][regionOf(m_hosts[host].domain())][to].initialShare(host);
+            for (std::size_t from = 0; from < RegionCount; ++from) {
+                for (std::size_t to = 0; to < RegionCount; ++to)
+                    shares.shifts[n][from][to] = m_grantor.shifts[n][from][to].initialShare(host);
+            }
         }
         for (std::size_t to = 0; to < RegionCount; ++to)
             shares.links[to]
@@ -327,18 +348,33 @@
 {
     auto &it = m_requests[request];
     const auto domain = it.callerDomain;
-    it.host = pickHost(domain);
+    const auto entry = pickEntryDomain(domain, it.service);
+    it.host = pickHost(entry);
     it.deadlineAt = m_now + m_deployment.services[it.service].deadline;
     it.callerDelay = m_deployment.toCallers;
     const auto hostDomain = m_hosts[it.host].domain();
     if (hostDomain != domain)
         it.callerDelay += m_deployment.delay(domain, hostDomain);
-    const bool isStale
-        = m_scenario.isHostLost(domain, m_now) && m_now < FaultStart + LookUpLifetime;
+    const bool isStale = m_scenario.isHostLost(entry, m_now) && m_now < FaultStart + LookUpLifetime;
     const auto connect = isStale ? ConnectTimeout : Duration::zero();
     schedule(m_now + connect + it.callerDelay, &Simulation::onHostReceives, request, it.generation);
 }
 
+std::size_t Simulation::pickEntryDomain(std::size_t domain, std::size_t service)
+{
+    ++m_arrivalCounts[service][domain];
+    const double draw = uniformFraction(m_network);
+    if (!m_policy.hasEntryWeights || m_entryWeights.empty())
+        return domain;
+    double sum = 0.0;
+    for (std::size_t n = 0; n < DomainCount; ++n) {
+        sum += m_entryWeights.front()[service][domain][n];
+        if (draw < sum)
+            return n;
+    }
+    return domain;
+}
+
 std::uint32_t Simulation::pickHost(std::size_t domain)
 {
     const bool isLost = m_scenario.isHostLost(domain, m_now);
@@ -395,6 +431,14 @@
     }
     schedule(it.deadlineAt - it.callerDelay, &Simulation::onDeadline, request, generation);
     m_hosts[it.host].onRequest(it.service, m_now);
+    const auto home = regionOf(it.callerDomain);
+    const auto region = regionOf(m_hosts[it.host].domain());
+    if (!m_hosts[it.host].admitGuest(it.service, home, m_now)) {
+        shed(request, Duration::zero());
+        return;
+    }
+    if (home != region)
+        m_measurements.onShift(it.service, home, region, m_now);
     admit(request);
 }
 
@@ -743,6 +787,26 @@
         serveQueue(host, service);
 }
 
+void Simulation::onLeasesExpired(std::uint32_t, std::uint32_t)
+{
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (!m_scenario.isHostLost(m_hosts[host].domain(), m_now))
+            continue;
+        for (std::size_t service = 0; service < ServiceCount; ++service) {
+            for (auto &it : m_grantor.slots[service])
+                it.expire(host);
+            for (auto &row : m_grantor.shifts[service]) {
+                for (auto &it : row)
+                    it.expire(host);
+            }
+        }
+        for (auto &row : m_grantor.links) {
+            for (auto &it : row)
+                it.expire(host);
+        }
+    }
+}
+
 void Simulation::onReports(std::uint32_t, std::uint32_t)
 {
     if (m_now >= RunEnd || areReportsStopped())
@@ -768,6 +832,42 @@
     }
 }
 
+void Simulation::onLookUpUpdate(std::uint32_t, std::uint32_t)
+{
+    if (m_now >= RunEnd || areReportsStopped())
+        return;
+    schedule(m_now + LookUpPeriod, &Simulation::onLookUpUpdate);
+    m_entryWeights.push_back({});
+    for (std::size_t service = 0; service < ServiceCount; ++service) {
+        const auto loads = domainLoads(service);
+        for (std::size_t from = 0; from < DomainCount; ++from)
+            entryWeights(loads, from, m_policy.entryWeights, m_entryWeights.back()[service][from]);
+    }
+    m_arrivalCounts = {};
+    if (m_entryWeights.size() > LookUpLag)
+        m_entryWeights.pop_front();
+}
+
+std::array<DomainLoad, DomainCount> Simulation::domainLoads(std::size_t service)
+{
+    const auto &model = m_deployment.services[service];
+    const double mean = std::chrono::duration<double>(model.meanServiceTime).count();
+    const double period = std::chrono::duration<double>(LookUpPeriod).count();
+    std::array<DomainLoad, DomainCount> loads;
+    for (std::size_t n = 0; n < DomainCount; ++n) {
+        loads[n].region = regionOf(n);
+        loads[n].demand = m_arrivalCounts[service][n] / period * mean;
+        loads[n].hasEntryHost = !m_scenario.isHostLost(n, m_now);
+    }
+    for (std::size_t n = 0; n < m_targets[service].size(); ++n) {
+        const auto domain = domainOfTarget(n);
+        const bool isLost = m_scenario.isTargetLost(domain, m_now - ConnectTimeout);
+        const double share = isLost ? 0.0 : m_scenario.plannedWeight(domain, m_now);
+        loads[domain].capacity += share * model.slots / m_scenario.serviceFactor(n, m_now);
+    }
+    return loads;
+}
+
 HostShares Simulation::renewAll(std::size_t host, const HostDecisions::Wants &wants)
 {
     HostShares shares;
@@ -776,9 +876,11 @@
         for (std::size_t target = 0; target < m_targets[n].size(); ++target)
             shares.slots[n].push_back(m_grantor.slots[n][target].renew(
                 host, wants.held.slots[n][target], wants.wanted.slots[n][target]));
-        for (std::size_t to = 0; to < RegionCount; ++to)
-            shares.shifts[n][to] = m_grantor.shifts[n][from][to].renew(
-                host, wants.held.shifts[n][to], wants.wanted.shifts[n][to]);
+        for (std::size_t home = 0; home < RegionCount; ++home) {
+            for (std::size_t to = 0; to < RegionCount; ++to)
+                shares.shifts[n][home][to] = m_grantor.shifts[n][home][to].renew(
+                    host, wants.held.shifts[n][home][to], wants.wanted.shifts[n][home][to]);
+        }
     }
     for (std::size_t to = 0; to < RegionCount; ++to)
         shares.links[to]
--- a/packages/state/ggv/state/admission/adaptive_limit.hpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.hpp
@@ -17,8 +17,7 @@
     double growthPerSecond = 0.1; //!< Share regained per second of successes.
     double latencyTolerance = 2.0; //!< Ratio of recent to usual latency that is not overload.
     double recentStep = 0.1; //!< Weight of the newest latency in the recent one.
-    double usualFallStep = 0.1; //!< Weight of a lower latency in the usual one.
-    double usualRiseStep = 0.005; //!< Weight of a higher latency in the usual one.
+    double usualStep = 0.01; //!< Weight of the newest latency in the usual one.
 
     [[nodiscard]] auto operator<=>(const AdaptiveLimitPolicy &) const noexcept = default;
 };
@@ -85,6 +84,7 @@
     double m_share;
     double m_recentLatency = 0.0; //!< In microseconds; 0 before the first success.
     double m_usualLatency = 0.0; //!< In microseconds; 0 before the first success.
+    std::uint32_t m_samples = 0;
     std::uint32_t m_reportedSlots = UINT32_MAX;
     Instant m_grownAt {};
     Instant m_droppedAt = Instant::min();
--- a/packages/state/ggv/state/claim/key_store.cpp
+++ b/packages/state/ggv/state/claim/key_store.cpp
@@ -139,7 +139,9 @@
         if ((static_cast<UnixMillis>(bucket->first) + 1) * MillisPerMinute > time)
             return;
         for (const auto &key : bucket->second) {
-            if (auto *const slot = m_slots.find(key))
+            // The key may have been forgotten and added again without its time.
+            auto *const slot = m_slots.find(key);
+            if (slot != nullptr && slot->keyMinute == bucket->first)
                 erase(*slot);
         }
         m_byMinute.erase(bucket);
@@ -153,14 +155,4 @@
     m_slots.erase(key);
 }
 
-std::vector<const Slot *> KeyStore::sorted() const
-{
-    std::vector<const Slot *> slots;
-    slots.reserve(m_slots.size());
-    m_slots.forEach([&slots](const Slot &slot) { slots.push_back(&slot); });
-    std::sort(slots.begin(), slots.end(),
-              [](const Slot *left, const Slot *right) { return left->key < right->key; });
-    return slots;
-}
-
 } // namespace ggv::detail
--- a/packages/state/ggv/state/request/request_outcome.cpp
+++ b/packages/state/ggv/state/request/request_outcome.cpp
@@ -121,7 +121,7 @@
     case ClaimDecision::Expired:
         return { ResultCode::IdempotencyKeyExpired, Verdict::Unknown };
     case ClaimDecision::Full:
-        return { ResultCode::ClaimStoreFull, Verdict::NotRun };
+        return { ResultCode::ClaimStoreFull, Verdict::Unknown };
     case ClaimDecision::Stale:
         return { ResultCode::ClaimUnavailable, Verdict::Unknown };
     case ClaimDecision::Granted:
@@ -250,7 +250,7 @@
 void RequestTransitions::targetRefused()
 {
     if (ended()) {
-        actions.releaseClaim = request.m_readsLate;
+        actions.releaseClaim = request.m_readsLate && !request.m_passing;
         request.m_readsLate = false;
         return;
     }
