--- a/packages/state/bench/decision/lease_pool.cpp
+++ b/packages/state/bench/decision/lease_pool.cpp
@@ -28,6 +28,12 @@
     return grant;
 }
 
+void LeasePool::expire(std::size_t host)
+{
+    m_accounts[host] = {};
+    m_accounts[host].grants.assign(UnheardGrants, 0);
+}
+
 std::uint32_t LeasePool::initialShare(std::size_t host) const
 {
     const auto it = std::ranges::find(m_homes, host);
@@ -47,6 +53,10 @@
 {
     std::vector<std::uint32_t> shares(m_accounts.size(), 0);
     std::uint32_t left = m_limit;
+    for (const auto home : m_homes) {
+        shares[home] = std::min(m_accounts[home].wanted, initialShare(home));
+        left -= shares[home];
+    }
     for (bool isMoving = true; isMoving && left > 0;) {
         isMoving = false;
         const auto hungry
--- a/packages/state/bench/decision/lease_pool.hpp
+++ b/packages/state/bench/decision/lease_pool.hpp
@@ -9,8 +9,9 @@
 /**
  * @brief Stand-in for the grantor of one shared limit.
  *
- * Shares follow what the hosts want; the sum of all shares that may still be in use stays within
- * the limit although requests and grants take time.
+ * A home that wants its part of the limit gets it; the rest follows what all hosts want. The sum of
+ * all shares that may still be in use stays within the limit although requests and grants take
+ * time.
  */
 class LeasePool
 {
@@ -32,6 +33,9 @@
      */
     [[nodiscard]] std::uint32_t renew(std::size_t host, std::uint32_t held, std::uint32_t wanted);
 
+    //! Takes back the share of a host whose leases have expired.
+    void expire(std::size_t host);
+
     //! @return Share of a host at the start: the limit split between the homes.
     [[nodiscard]] std::uint32_t initialShare(std::size_t host) const;
 
