--- a/packages/state/ggv/state/model/register_rules.cpp
+++ b/packages/state/ggv/state/model/register_rules.cpp
@@ -46,6 +46,15 @@
 
 std::string quoted(std::string_view text) { return '"' + std::string(text) + '"'; }
 
+// True of valid content in normal form, whose keys cannot repeat.
+template <typename Entity>
+bool isStrictlySorted(const std::vector<Entity> &entities)
+{
+    const auto isNotBefore
+        = [](const Entity &one, const Entity &other) { return !detail::KeyLess {}(one, other); };
+    return std::adjacent_find(entities.begin(), entities.end(), isNotBefore) == entities.end();
+}
+
 template <typename Entity>
 NameSet namesOf(const SharedVector<Entity> &entities)
 {
@@ -114,14 +123,22 @@
 
     template <typename Entity>
     void checkAll(const std::vector<Entity> &entities)
+    {
+        for (m_index = 0; m_index < entities.size(); ++m_index)
+            checkEntity(entities[m_index]);
+        if (!isStrictlySorted(entities))
+            checkKeys(entities);
+    }
+
+    template <typename Entity>
+    void checkKeys(const std::vector<Entity> &entities)
     {
         std::unordered_set<std::string> keys;
         keys.reserve(entities.size());
         for (m_index = 0; m_index < entities.size(); ++m_index) {
-            const auto &entity = entities[m_index];
-            if (!keys.insert(detail::keyText(entity)).second)
-                fault({}, quoted(detail::keyText(entity)) + " is given twice");
-            checkEntity(entity);
+            const std::string key = detail::keyText(entities[m_index]);
+            if (!keys.insert(key).second)
+                fault({}, quoted(key) + " is given twice");
         }
     }
 
