--- a/packages/state/ggv/state/model/ip_address.cpp
+++ b/packages/state/ggv/state/model/ip_address.cpp
@@ -31,6 +31,20 @@
     }
 }
 
+// Several times as fast as inet_ntop(), which matters for the blocks of a large register.
+std::string ipv4Text(std::uint64_t address)
+{
+    constexpr unsigned LastByte = 24;
+    constexpr std::uint64_t ByteMask = 0xff;
+    std::string text;
+    for (unsigned i = 0; i <= LastByte; i += BitsPerByte) {
+        if (i > 0)
+            text += '.';
+        text += std::to_string((address >> (LastByte - i)) & ByteMask);
+    }
+    return text;
+}
+
 // Ones in the positions after the first `length` bits of a field of `width` bits.
 std::uint64_t trailingOnes(unsigned length, unsigned width) noexcept
 {
@@ -92,12 +106,10 @@
 
 std::string IpAddress::text() const
 {
+    if (family == IpFamily::V4)
+        return ipv4Text(low);
     std::array<char, INET6_ADDRSTRLEN> buf {};
     std::array<unsigned char, 2 * BytesPerWord> bytes {};
-    if (family == IpFamily::V4) {
-        writeWord(low, bytes.data(), sizeof(in_addr));
-        return inet_ntop(AF_INET, bytes.data(), buf.data(), buf.size());
-    }
     writeWord(high, bytes.data(), BytesPerWord);
     writeWord(low, bytes.data() + BytesPerWord, BytesPerWord);
     return inet_ntop(AF_INET6, bytes.data(), buf.data(), buf.size());
