--- a/packages/state/test/claim/slot_map_test.cpp
+++ b/packages/state/test/claim/slot_map_test.cpp
@@ -16,7 +16,7 @@
 KeyDigest crowdedKey(std::uint32_t bits)
 {
     const std::uint64_t low = bits / 4 % 32;
-    return { (bits % 2) << 56U, bits % 4 < 2 ? low : ~low };
+    return { std::uint64_t { bits % 2 } << 56U, bits % 4 < 2 ? low : ~low };
 }
 
 class SlotMapTest : public CppUnit::TestFixture
