--- /dev/null
+++ b/packages/state/ggv/state/steering/slot_demand.cpp
@@ -0,0 +1,52 @@
+#include <ggv/state/steering/slot_demand.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+
+namespace ggv {
+
+namespace {
+
+//! Asks evenly at the targets of one proximity; returns how many of the slots are leased already.
+double askAt(Proximity proximity, double needed, std::span<const DemandTarget> targets,
+             std::span<std::uint32_t> wanted) noexcept
+{
+    const auto isUsable = [proximity](const DemandTarget &target) {
+        return target.proximity == proximity && target.slots > 0;
+    };
+    auto remaining = std::ranges::count_if(targets, isUsable);
+    double leased = 0.0;
+    for (std::size_t n = 0; n < targets.size() && needed > 0.0; ++n) {
+        if (!isUsable(targets[n]))
+            continue;
+        const auto share = std::ceil(needed / static_cast<double>(remaining--));
+        wanted[n] = std::min(targets[n].slots, static_cast<std::uint32_t>(share));
+        needed -= wanted[n];
+        leased += std::min(wanted[n], targets[n].leased);
+    }
+    return leased;
+}
+
+} // namespace
+
+double offeredLoad(double arrivalsPerSecond, Duration serviceTime) noexcept
+{
+    return arrivalsPerSecond * std::chrono::duration<double>(serviceTime).count();
+}
+
+void spreadDemand(double load, double farLimit, std::span<const DemandTarget> targets,
+                  std::span<std::uint32_t> wanted, const DemandPolicy &policy) noexcept
+{
+    std::ranges::fill(wanted, 0);
+    const double deviation = std::sqrt(load);
+    const double ownDomain = load + policy.ownDomainMargin * deviation;
+    double leased = askAt(Proximity::SameDomain, ownDomain, targets, wanted);
+    const double ownRegion = load + policy.ownRegionMargin * deviation - leased;
+    leased += askAt(Proximity::SameRegion, ownRegion, targets, wanted);
+    const double otherRegion = load + policy.otherRegionMargin * deviation - leased;
+    (void)askAt(Proximity::OtherRegion, std::min(otherRegion, farLimit), targets, wanted);
+}
+
+} // namespace ggv
