--- a/packages/state/ggv/state/admission/load_shedder.cpp
+++ b/packages/state/ggv/state/admission/load_shedder.cpp
@@ -37,7 +37,8 @@
         return shed(wait, policy);
     if (load.hasFreeSlot && load.queued == 0)
         return { AdmissionAction::Admit, Duration::zero(), Duration::zero() };
-    const auto bound = std::min(timeLeft - needed, policy.maximumWait);
+    const auto longest = std::min(policy.maximumWait, scaled(load.serviceTime, policy.waitFactor));
+    const auto bound = std::min(timeLeft - needed, longest);
     if (wait > bound)
         return shed(wait, policy);
     return { AdmissionAction::Wait, bound, Duration::zero() };
--- a/packages/state/ggv/state/admission/load_shedder.hpp
+++ b/packages/state/ggv/state/admission/load_shedder.hpp
@@ -11,6 +11,7 @@
 struct ShedPolicy
 {
     Duration maximumWait { 500'000 }; //!< Longest time in the queue, whatever the deadline.
+    double waitFactor = 4.0; //!< Longest time in the queue, in service times.
     Duration margin { 2'000 }; //!< Part of the deadline kept for the way back and for timers.
     double serviceFactor = 1.0; //!< Expected service times that must fit after the wait.
     Duration minimumRetryAfter { 100'000 };
