Close three gaps that reverted guards showed

With a guard reverted these stayed green: own region first (far targets were dearer anyhow), zero at emptyAt (empty windows were rarely drawn) and the longest wait. The tests now use a slow near target, empty windows and the factor's bound.

--- a/packages/state/test/admission/load_shedder_test.cpp
+++ b/packages/state/test/admission/load_shedder_test.cpp
@@ -40,6 +40,7 @@
             }
             RC_ASSERT(decision.waitBound + load.serviceTime < timeLeft);
             RC_ASSERT(decision.waitBound <= policy.maximumWait);
+            RC_ASSERT(decision.waitBound <= load.serviceTime * policy.waitFactor);
             RC_ASSERT(decision.action == AdmissionAction::Admit
                       || expectedWait(load) <= decision.waitBound);
         }));
--- a/packages/state/test/steering/drain_schedule_test.cpp
+++ b/packages/state/test/steering/drain_schedule_test.cpp
@@ -34,6 +34,8 @@
             RC_ASSERT(early >= startsAt || drainWeight(window, early) == 1.0);
             RC_ASSERT(late < window.emptyAt || drainWeight(window, late) == 0.0);
             RC_ASSERT(early >= window.emptyAt || drainWeight(window, early) > 0.0);
+            RC_ASSERT(drainWeight(window, window.emptyAt) == 0.0);
+            RC_ASSERT(drainWeight({ startsAt, startsAt }, startsAt) == 0.0);
         }));
     }
 
--- a/packages/state/test/steering/target_choice_test.cpp
+++ b/packages/state/test/steering/target_choice_test.cpp
@@ -99,8 +99,9 @@
             auto generated = *rc::gen::container<std::vector<TargetCandidate>>(candidateGen());
             const auto position = *rc::gen::inRange<std::size_t>(0, generated.size() + 1);
             const auto proximity = *rc::gen::element(Proximity::SameDomain, Proximity::SameRegion);
-            generated.insert(generated.begin() + static_cast<std::ptrdiff_t>(position),
-                             target(0, proximity, Duration(1'000)));
+            auto slow = target(0, proximity, Duration(1'000));
+            slow.serviceTime = Duration(200'000);
+            generated.insert(generated.begin() + static_cast<std::ptrdiff_t>(position), slow);
             const auto candidates = numbered(generated);
             RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
             const auto order = chooseTarget(candidates, random, {});
