Lease slots on demand and bound rates between regions

Cause: an idle host lent its whole fixed share and refused its first callers; callers' client refused every body because the parser's unlimited setting is taken as zero by this Beast.

--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -10,6 +10,7 @@
 #include <ggv/coordination/peer/peer_network.hpp>
 #include <ggv/protocol/codec/change_codec.hpp>
 #include <ggv/protocol/codec/register_codec.hpp>
+#include <ggv/state/budget/limits_from_register.hpp>
 #include <ggv/state/model/register_delta.hpp>
 
 #include <algorithm>
@@ -28,6 +29,7 @@
 constexpr Duration ViewInterval = std::chrono::milliseconds(1000);
 constexpr Duration MemberInterval = std::chrono::milliseconds(1000);
 constexpr Duration LeaseInterval = std::chrono::milliseconds(500);
+constexpr Duration ShortestLeaseInterval = std::chrono::milliseconds(100);
 constexpr Duration ChildLifetime = std::chrono::milliseconds(3000);
 constexpr Duration BootstrapDeadline = std::chrono::seconds(5);
 
@@ -127,6 +129,17 @@
         return report;
     }
 
+    // Asks at once for what callers want, but not more often than the shortest interval.
+    void hurryLease()
+    {
+        const Instant now = monotonicNow();
+        if (now - m_leaseAskedAt < ShortestLeaseInterval)
+            return;
+        m_leasePacer.hurry();
+        if (m_leasePacer.due(now))
+            askLease(now);
+    }
+
     void announceLeaving()
     {
         m_leaving = true;
@@ -301,6 +314,7 @@
     {
         joinQuorums(*m_feed.newest());
         m_claims->setGroups(m_feed.newest()->content().claimGroups);
+        m_leases->setLimits(limitsFromRegister(*m_feed.newest()));
         publish();
         for (auto &[host, child] : m_children)
             pushTo(host, child);
@@ -314,6 +328,8 @@
             return;
         m_published = std::move(content);
         LOG(INFO) << "control: version " << m_published->version() << " is in force";
+        m_holder->adoptRegister(m_published->version(),
+                                limitsFromRegister(*m_published).fixedOf(m_self));
         m_handlers.onRegister(m_published);
     }
 
@@ -330,7 +346,7 @@
 
     void askLease(Instant now)
     {
-        m_holder->adoptRegister(m_published ? m_published->version() : 0, {});
+        m_leaseAskedAt = now;
         const auto request = m_holder->request(m_handlers.demands(), now);
         if (m_handlers.applyBudgets(*m_holder, now))
             m_leases->receive(m_self, { request, 0 }, m_upstream, m_feed.newest()->version());
@@ -501,6 +517,7 @@
     Pacer m_memberPacer { MemberInterval };
     Pacer m_leasePacer { LeaseInterval };
     Instant m_lastReport = Instant::min();
+    Instant m_leaseAskedAt = Instant::min();
     Term m_ledTerm = 0;
     std::uint64_t m_viewSequence = 0;
     std::uint64_t m_reportSequence = 0;
@@ -577,6 +594,12 @@
                       [implementation = m_implementation] { implementation->announceLeaving(); });
 }
 
+void ControlPlane::hurryLease()
+{
+    boost::asio::post(m_implementation->m_context,
+                      [implementation = m_implementation] { implementation->hurryLease(); });
+}
+
 void ControlPlane::inspect(std::function<void(const ControlReport &)> onReport)
 {
     boost::asio::post(m_implementation->m_context,
--- a/packages/coordination/ggv/coordination/control/control_plane.hpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.hpp
@@ -103,6 +103,8 @@
     [[nodiscard]] std::uint64_t seenPosition(const std::string &group) const;
     //! Reports this host as leaving from now on.
     void announceLeaving();
+    //! Asks for leases soon instead of at the next interval: callers found no free slot.
+    void hurryLease();
     //! Calls a function with what is known, on the control loop.
     void inspect(std::function<void(const ControlReport &)> onReport);
 
--- a/packages/coordination/ggv/coordination/entry/entry_loop.cpp
+++ b/packages/coordination/ggv/coordination/entry/entry_loop.cpp
@@ -51,6 +51,14 @@
     return route.state->weight() > 0.0 && route.state->health() <= HealthState::Suspect;
 }
 
+// A target in another region is in reach only while the rates on the way there allow it.
+bool isWayOpen(const TargetRoute &route, Instant now)
+{
+    if (route.proximity != Proximity::OtherRegion)
+        return true;
+    return route.path && route.path->check(now) == ResultCode::Ok;
+}
+
 } // namespace
 
 class EntryLoop::Implementation
@@ -71,38 +79,71 @@
         load.queued = service.state->queued.load(std::memory_order_relaxed);
         load.hasFreeSlot = hasFreeSlot;
         load.serviceTime = serviceTimeOf(service);
-        for (const auto &route : service.targets)
-            load.slots += mayServe(route) ? route.state->limit() : 0;
+        const Instant now = monotonicNow();
+        bool works = false;
+        for (const auto &route : service.targets) {
+            works = works || mayServe(route);
+            load.slots += mayServe(route) ? route.state->limit(now) : 0;
+        }
+        // Slots that are not leased yet can be had soon.
+        load.slots = std::max<std::uint32_t>(load.slots, works ? 1 : 0);
         return load;
     }
 
     ChosenTarget choose(const ServiceRoute &service, const std::set<std::uint32_t> &tried)
     {
+        const Instant now = monotonicNow();
         m_candidates.clear();
         for (std::size_t n = 0; n < service.targets.size(); ++n) {
             const auto &route = service.targets[n];
             const auto &state = *route.state;
-            const bool usable = !tried.contains(state.number());
+            const bool usable = !tried.contains(state.number()) && isWayOpen(route, now);
             m_candidates.push_back({ static_cast<std::uint32_t>(n), route.proximity, state.health(),
-                                     state.weight(), state.inFlight(), usable ? state.limit() : 0,
-                                     route.roundTrip, state.serviceTime() });
+                                     state.weight(), state.inFlight(),
+                                     usable ? state.limit(now) : 0, route.roundTrip,
+                                     state.serviceTime() });
         }
         ChoicePolicy policy;
         policy.nearWait = expectedWait(loadOf(service, false));
         const TargetOrder order = chooseTarget(m_candidates, m_random, policy);
         for (const auto index : order.indices()) {
             const auto &route = service.targets[index];
-            if (route.state->tryAcquire())
-                return { &route, TargetPermit(route.state) };
+            auto slot = route.state->tryAcquire(now);
+            if (!slot || (route.path && !route.path->tryTake(now)))
+                continue;
+            return { &route, { route.state, std::move(slot) } };
         }
+        service.state->unmet.store(true, std::memory_order_relaxed);
+        noteFarDemand(service);
         return {};
     }
 
+    // Work that no near target can take is demand for the way to another region.
+    void noteFarDemand(const ServiceRoute &service)
+    {
+        std::size_t seen = 0;
+        const TargetRoute *chosen = nullptr;
+        for (const auto &route : service.targets) {
+            if (route.path && mayServe(route) && m_random() % ++seen == 0)
+                chosen = &route;
+        }
+        if (chosen != nullptr)
+            chosen->path->noteDemand();
+    }
+
     AdmissionRefusal refusalOf(const ServiceRoute &service, const AdmissionDecision &decision) const
     {
-        const bool works = std::any_of(service.targets.begin(), service.targets.end(), mayServe);
-        return { works ? ResultCode::Overloaded : ResultCode::NoWorkingTarget,
-                 decision.retryAfter };
+        AdmissionRefusal refusal { ResultCode::NoWorkingTarget, decision.retryAfter };
+        const Instant now = monotonicNow();
+        for (const auto &route : service.targets) {
+            if (!mayServe(route))
+                continue;
+            const auto way = route.path ? route.path->check(now) : ResultCode::Ok;
+            refusal.code = way == ResultCode::Ok ? ResultCode::Overloaded : way;
+            if (!route.path)
+                break;
+        }
+        return refusal;
     }
 
     void arm()
--- a/packages/coordination/ggv/coordination/entry/entry_view.cpp
+++ b/packages/coordination/ggv/coordination/entry/entry_view.cpp
@@ -1,5 +1,7 @@
 #include <ggv/coordination/entry/entry_view.hpp>
 
+#include <ggv/state/budget/budget_keys.hpp>
+
 namespace ggv {
 
 namespace {
@@ -7,6 +9,27 @@
 //! Round trip within a region, where the register states no delay.
 constexpr Duration RegionRoundTrip = std::chrono::milliseconds(1);
 
+constexpr std::uint64_t BitsPerByte = 8;
+constexpr std::uint64_t BitsPerKilobit = 1000;
+
+// Nothing for a target in the own region, or in a region that no link leads to.
+std::optional<RegionPath> pathTo(const Register &content, const FailureDomainName &domain,
+                                 const Target &target, const EntryView::StateSource &states)
+{
+    const auto *from = content.regionOf(domain);
+    const auto *to = content.regionOf(target.domain);
+    if (from == nullptr || to == nullptr || content.link(*from, *to) == nullptr)
+        return std::nullopt;
+    RegionPath path;
+    if (content.shiftCap(target.service, *from, *to) != nullptr)
+        path.shift = states.gate(shiftRateKey(target.service, *from, *to));
+    path.linkOut = states.gate(linkRateKey(*from, *to));
+    path.linkBack = states.gate(linkRateKey(*to, *from));
+    const auto bytes = content.service(target.service)->typicalExchangeBytes;
+    path.typicalKilobits = bytes * BitsPerByte / BitsPerKilobit + 1;
+    return path;
+}
+
 } // namespace
 
 Proximity proximityOf(const Register &content, const FailureDomainName &domain,
@@ -46,7 +69,8 @@
         for (const auto *target : m_content->targetsOf(service.name)) {
             route.targets.push_back({ target, states.target(*target),
                                       proximityOf(*m_content, domain, target->domain),
-                                      roundTripTo(*m_content, domain, target->domain) });
+                                      roundTripTo(*m_content, domain, target->domain),
+                                      pathTo(*m_content, domain, *target, states) });
         }
         m_services.emplace(service.name.text(), std::move(route));
     }
--- a/packages/coordination/ggv/coordination/entry/entry_view.hpp
+++ b/packages/coordination/ggv/coordination/entry/entry_view.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <ggv/coordination/entry/rate_gate.hpp>
 #include <ggv/coordination/entry/target_state.hpp>
+#include <ggv/state/budget/budget.hpp>
 #include <ggv/state/model/register.hpp>
 #include <ggv/state/steering/target_choice.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -19,12 +22,14 @@
     std::shared_ptr<TargetState> state;
     Proximity proximity = Proximity::SameDomain;
     Duration roundTrip { 0 }; //!< Network only, from the register.
+    std::optional<RegionPath> path; //!< For a target in another region.
 };
 
 //! What all threads of an entry host share about one service. Lock-free.
 struct ServiceState
 {
     std::atomic<std::uint32_t> arrivals = 0; //!< Since the control loop took them last.
+    std::atomic<bool> unmet = false; //!< A request found no free slot since the last lease.
     std::atomic<std::uint32_t> queued = 0; //!< Requests that wait for a slot.
     std::atomic<Duration::rep> serviceTime = 0; //!< Mean time that a request holds a slot.
 };
@@ -56,6 +61,7 @@
     {
         std::function<std::shared_ptr<TargetState>(const Target &)> target;
         std::function<std::shared_ptr<ServiceState>(const Service &)> service;
+        std::function<std::shared_ptr<RateGate>(const BudgetKey &)> gate;
     };
 
     /**
--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t ReplayBytes = 64 * 1024; //!< Of an idempotent request's body, for retries.
 constexpr std::size_t MaxKeptBytes = 1024 * 1024; //!< Of a kept answer's body.
 constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::uint64_t BitsPerByte = 8;
+constexpr std::uint64_t BitsPerKilobit = 1000;
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
 //! A kept connection that is silent this many usual service times is taken for dead.
 constexpr int SilenceFactor = 8;
@@ -214,6 +216,7 @@
     m_tried.insert(m_target.route->state->number());
     m_sentAt = monotonicNow();
     m_headSeen = false;
+    m_receivedBytes = 0;
     const Instant deadline = std::min(m_startedAt + m_plan.timeLeft, m_sentAt + ConnectTimeout);
     bool connected = false;
     try {
@@ -324,6 +327,7 @@
     std::array<std::uint8_t, ChunkBytes> chunk;
     while (const std::size_t n = co_await m_exchange->readBody(chunk, stepDeadline())) {
         const auto bytes = std::span(chunk).first(n);
+        m_receivedBytes += n;
         keep(bytes);
         if (apply(RequestEventKind::BodyChunk).passBody)
             co_await m_caller.writeBody(bytes);
@@ -372,8 +376,24 @@
         { m_target.route->state->number(), outcome, m_sentAt, monotonicNow() });
 }
 
+// The link was charged for a typical exchange; a larger one is charged when its size is known.
+void RequestDriver::chargeLink()
+{
+    if (m_target.route == nullptr || !m_target.route->path)
+        return;
+    const auto &path = *m_target.route->path;
+    const std::uint64_t sent = m_body.size() * BitsPerByte / BitsPerKilobit;
+    const std::uint64_t received = m_receivedBytes * BitsPerByte / BitsPerKilobit;
+    const Instant now = monotonicNow();
+    if (sent > 1)
+        path.linkOut->charge(sent - 1, now);
+    if (received > path.typicalKilobits)
+        path.linkBack->charge(received - path.typicalKilobits, now);
+}
+
 void RequestDriver::endExchange(bool reusable)
 {
+    chargeLink();
     if (m_exchange && reusable)
         m_loop.pool().giveBack(std::move(m_exchange));
     m_exchange.reset();
--- a/packages/coordination/ggv/coordination/entry/request_driver.hpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.hpp
@@ -59,6 +59,7 @@
     void keep(const HttpAnswerHead &head);
     void keep(std::span<const std::uint8_t> bytes);
     void observe(TargetOutcome outcome);
+    void chargeLink();
     void endExchange(bool reusable);
     [[nodiscard]] HttpRequestHead forwardedHead() const;
     [[nodiscard]] HttpAnswerHead answerHead(const HttpAnswerHead &head) const;
@@ -89,6 +90,7 @@
     ChosenTarget m_target;
     std::unique_ptr<ClientExchange> m_exchange;
     Instant m_sentAt {};
+    std::uint64_t m_receivedBytes = 0; //!< Of the answer's body.
     bool m_headSeen = false; //!< The target's answer has begun.
     std::shared_ptr<bool> m_callerGone = std::make_shared<bool>(false);
 };
--- a/packages/coordination/ggv/coordination/entry/target_board.cpp
+++ b/packages/coordination/ggv/coordination/entry/target_board.cpp
@@ -1,10 +1,12 @@
 #include <ggv/coordination/entry/target_board.hpp>
 
 #include <ggv/state/admission/adaptive_limit.hpp>
+#include <ggv/state/budget/budget_keys.hpp>
 #include <ggv/state/steering/drain_schedule.hpp>
 #include <ggv/state/steering/slot_demand.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 #include <boost/lockfree/queue.hpp>
@@ -16,6 +18,7 @@
 constexpr std::size_t MaxWaiting = 32'768; //!< Observations between two refreshes.
 constexpr double MaximumDownShare = 0.5;
 constexpr double ArrivalRateStep = 0.5; //!< Weight of the newest arrival rate.
+constexpr double RateMargin = 1.3; //!< Rate asked for, relative to the demand.
 constexpr double ServiceTimeStep = 0.02; //!< Weight of the newest service time.
 constexpr Duration InitialServiceTime = std::chrono::milliseconds(50);
 
@@ -35,9 +38,25 @@
     TargetHealth health = TargetHealth::warm();
     AdaptiveLimit adaptive = AdaptiveLimit::warm();
     BudgetUnits usable = 0; //!< Fixed and leased slots.
+    Instant usableUntil = Instant::min();
+    BudgetUnits usableAfter = 0; //!< From usableUntil on.
+    std::uint32_t reported = 0; //!< Requests in flight in the last demand.
+
+    // Publishes the smaller of the leased slots and the adaptive limit.
+    void publishLimit() const
+    {
+        state->setLimit(adaptive.limit(usable), usableUntil, adaptive.limit(usableAfter));
+    }
     std::vector<DrainWindow> drains;
 };
 
+//! What the control loop knows about one leased rate.
+struct GateRecord
+{
+    std::shared_ptr<RateGate> state;
+    BudgetUnits usable = 0;
+};
+
 //! What the control loop knows about one service.
 struct ServiceRecord
 {
@@ -90,6 +109,14 @@
         return record;
     }
 
+    std::shared_ptr<RateGate> gateOf(const BudgetKey &key)
+    {
+        auto &gate = m_gates[key];
+        if (!gate.state)
+            gate.state = std::make_shared<RateGate>();
+        return gate.state;
+    }
+
     std::shared_ptr<const EntryView> buildView(const std::shared_ptr<const Register> &content)
     {
         m_content = content;
@@ -102,6 +129,7 @@
         const EntryView::StateSource states {
             [this](const Target &target) { return recordOf(target).state; },
             [this](const Service &service) { return m_services[service.name].state; },
+            [this](const BudgetKey &key) { return gateOf(key); },
         };
         return std::make_shared<const EntryView>(content, m_domain, states);
     }
@@ -135,7 +163,7 @@
             auto &record = recordOf(*targets[n]);
             const double weight
                 = std::min(record.health.weight(), drainWeight(record.drains, wallNow));
-            record.state->setLimit(record.adaptive.limit(record.usable));
+            record.publishLimit();
             record.state->setJudgement(m_states[n], weight, record.adaptive.expectedLatency());
             learnServiceTime(m_services[service.name], record);
         }
@@ -168,21 +196,67 @@
         spreadDemand(offeredLoad(record.arrivalsPerSecond, serviceTime), farLimit(service),
                      possible, wanted);
         for (std::size_t n = 0; n < targets.size(); ++n) {
-            const auto inFlight = recordOf(*targets[n]).state->inFlight();
-            demands.push_back({ { BudgetKind::TargetSlots, targets[n]->name.text() },
-                                inFlight,
-                                std::max(inFlight, wanted[n]) });
+            auto &target = recordOf(*targets[n]);
+            target.reported = target.state->inFlight();
+            const auto least = possible[n].slots > 0 ? leastWanted(*targets[n]) : 0;
+            demands.push_back({ targetSlotsKey(targets[n]->name), target.reported,
+                                std::max({ target.reported, wanted[n], least }) });
+        }
+    }
+
+    // An idle host keeps some slots of its own failure domain, so that a burst finds them.
+    BudgetUnits leastWanted(const Target &target) const
+    {
+        const auto hosts = static_cast<BudgetUnits>(m_content->hostsOf(m_domain).size());
+        if (target.domain != m_domain || hosts == 0)
+            return 0;
+        return std::max<BudgetUnits>(1, target.slots / (2 * hosts));
+    }
+
+    void demandRates(Duration elapsed, std::vector<BudgetDemand> &demands)
+    {
+        const double seconds = std::max(std::chrono::duration<double>(elapsed).count(), 0.001);
+        for (auto &[key, gate] : m_gates) {
+            const double rate = static_cast<double>(gate.state->takeDemand()) / seconds;
+            const auto wanted = static_cast<BudgetUnits>(std::ceil(rate * RateMargin));
+            demands.push_back({ key, 0, wanted });
         }
     }
 
-    // Slots in other regions are only asked for as far as links and shift caps allow.
-    static double farLimit(const Service &) { return 0.0; }
+    // Slots in other regions are only asked for as far as shift caps allow.
+    double farLimit(const Service &service)
+    {
+        const auto *own = m_content->regionOf(m_domain);
+        const double seconds = m_services[service.name].serviceTime / Duration::period::den;
+        double limit = 0.0;
+        for (const auto &region : m_content->content().regions) {
+            if (own == nullptr || region.name == *own)
+                continue;
+            const bool capped = m_content->shiftCap(service.name, *own, region.name) != nullptr;
+            const auto &key = capped ? shiftRateKey(service.name, *own, region.name)
+                                     : linkRateKey(*own, region.name);
+            limit += m_gates[key].usable * seconds;
+        }
+        return limit;
+    }
+
+    bool apply(const Target &target, const BudgetHolder &holder, Instant now, Instant until)
+    {
+        auto &record = recordOf(target);
+        const BudgetKey key = targetSlotsKey(target.name);
+        record.usable = holder.usable(key, now);
+        record.usableUntil = until;
+        record.usableAfter = std::min(record.usable, holder.usable(key, until));
+        record.publishLimit();
+        return record.state->inFlight() <= std::max(record.usable, record.reported);
+    }
 
     FailureDomainName m_domain;
     std::shared_ptr<const Register> m_content = std::make_shared<const Register>();
     std::vector<TargetRecord> m_targets;
     std::map<TargetName, std::uint32_t> m_numbers;
     std::map<ServiceName, ServiceRecord> m_services;
+    std::map<BudgetKey, GateRecord> m_gates;
     std::vector<HealthState> m_states;
     Instant m_demandedAt = Instant::min();
     boost::lockfree::queue<TargetObservation, boost::lockfree::capacity<MaxWaiting>> m_observations;
@@ -228,18 +302,28 @@
     std::vector<BudgetDemand> demands;
     for (const auto &service : board.m_content->content().services)
         board.demandOf(service, elapsed, demands);
+    board.demandRates(elapsed, demands);
     return demands;
 }
 
+bool TargetBoard::takeUnmet()
+{
+    bool unmet = false;
+    for (auto &[name, service] : m_implementation->m_services)
+        unmet = service.state->unmet.exchange(false) || unmet;
+    return unmet;
+}
+
 bool TargetBoard::applyBudgets(const BudgetHolder &holder, Instant now)
 {
+    auto &board = *m_implementation;
+    const Instant until = holder.nextChange(now);
     bool within = true;
-    for (const auto &target : m_implementation->m_content->content().targets) {
-        auto &record = m_implementation->recordOf(target);
-        record.usable = holder.usable({ BudgetKind::TargetSlots, target.name.text() }, now);
-        const auto limit = record.adaptive.limit(record.usable);
-        record.state->setLimit(limit);
-        within = within && record.state->inFlight() <= std::max(limit, record.usable);
+    for (const auto &target : board.m_content->content().targets)
+        within = board.apply(target, holder, now, until) && within;
+    for (auto &[key, gate] : board.m_gates) {
+        gate.usable = holder.usable(key, now);
+        gate.state->setRate(gate.usable, until, now);
     }
     return within;
 }
--- a/packages/coordination/ggv/coordination/entry/target_board.hpp
+++ b/packages/coordination/ggv/coordination/entry/target_board.hpp
@@ -48,6 +48,8 @@
     void refresh(Instant now, UnixMillis wallNow);
     //! @return Use of the slots and how many are wanted; resets the count of arrivals.
     [[nodiscard]] std::vector<BudgetDemand> takeDemands(Instant now);
+    //! @return True if a request found no free slot since the last call.
+    [[nodiscard]] bool takeUnmet();
     //! Lowers or raises the leased slots. @return False if a target has more in flight than that.
     bool applyBudgets(const BudgetHolder &holder, Instant now);
 
--- a/packages/coordination/ggv/coordination/entry/target_state.hpp
+++ b/packages/coordination/ggv/coordination/entry/target_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ggv/state/budget/slot_gate.hpp>
 #include <ggv/state/core/time.hpp>
 #include <ggv/state/health/health_state.hpp>
 
@@ -26,26 +27,17 @@
     //! @return Number of the target in observations.
     [[nodiscard]] std::uint32_t number() const noexcept { return m_number; }
 
-    //! Counts one request in flight unless the limit is reached. @return True if counted.
-    [[nodiscard]] bool tryAcquire() noexcept
-    {
-        std::uint32_t n = m_inFlight.load(std::memory_order_relaxed);
-        while (n < m_limit.load(std::memory_order_relaxed)) {
-            if (m_inFlight.compare_exchange_weak(n, n + 1, std::memory_order_acq_rel))
-                return true;
-        }
-        return false;
-    }
-
-    //! Ends the count of one request.
-    void release() noexcept { m_inFlight.fetch_sub(1, std::memory_order_acq_rel); }
-
+    //! Takes a slot unless the limit is reached. @return Empty permit if it is.
+    [[nodiscard]] SlotPermit tryAcquire(Instant now) noexcept { return m_gate.tryAcquire(now); }
     //! @return Requests in flight from this host.
-    [[nodiscard]] std::uint32_t inFlight() const noexcept { return m_inFlight.load(); }
+    [[nodiscard]] std::uint32_t inFlight() const noexcept { return m_gate.inFlight(); }
     //! @return Most requests in flight that this host may have.
-    [[nodiscard]] std::uint32_t limit() const noexcept { return m_limit.load(); }
-    //! Sets the limit; requests in flight above it go on.
-    void setLimit(std::uint32_t limit) noexcept { m_limit.store(limit); }
+    [[nodiscard]] std::uint32_t limit(Instant now) const noexcept { return m_gate.limitAt(now); }
+    //! Sets the limit until an instant and from then on; see SlotGate::setLimit().
+    void setLimit(BudgetUnits units, Instant until, BudgetUnits unitsAfter) noexcept
+    {
+        m_gate.setLimit(units, until, unitsAfter);
+    }
 
     //! @return Health as the control loop judged it last.
     [[nodiscard]] HealthState health() const noexcept { return m_health.load(); }
@@ -63,41 +55,17 @@
 
 private:
     const std::uint32_t m_number;
-    std::atomic<std::uint32_t> m_inFlight = 0;
-    std::atomic<std::uint32_t> m_limit = 0;
+    SlotGate m_gate;
     std::atomic<HealthState> m_health = HealthState::Working;
     std::atomic<double> m_weight = 1.0;
     std::atomic<Duration::rep> m_serviceTime = 0;
 };
 
 //! Right to have one request in flight at a target; given back when destroyed.
-class TargetPermit
+struct TargetPermit
 {
-public:
-    TargetPermit() = default;
-    //! @param state A target on which tryAcquire() has just succeeded.
-    explicit TargetPermit(std::shared_ptr<TargetState> state) noexcept
-        : m_state(std::move(state))
-    { }
-    ~TargetPermit() { reset(); }
-    TargetPermit(TargetPermit &&other) noexcept = default;
-    TargetPermit &operator=(TargetPermit &&other) noexcept
-    {
-        std::swap(m_state, other.m_state);
-        return *this;
-    }
-    TargetPermit(const TargetPermit &) = delete;
-    TargetPermit &operator=(const TargetPermit &) = delete;
-
-    //! Gives the right back.
-    void reset() noexcept
-    {
-        if (const auto state = std::exchange(m_state, nullptr))
-            state->release();
-    }
-
-private:
-    std::shared_ptr<TargetState> m_state;
+    std::shared_ptr<TargetState> state; //!< Outlives the slot.
+    SlotPermit slot;
 };
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/node/node.cpp
+++ b/packages/coordination/ggv/coordination/node/node.cpp
@@ -158,6 +158,8 @@
                 return;
             const Instant now = monotonicNow();
             m_board.refresh(now, wallClockNow());
+            if (m_board.takeUnmet())
+                m_plane->hurryLease();
             const bool drains = m_register && !m_register->content().drains.empty();
             if (drains && now - m_lookupsAt > LookupInterval)
                 rebuildLookups();
--- a/packages/coordination/ggv/coordination/operators/status_json.cpp
+++ b/packages/coordination/ggv/coordination/operators/status_json.cpp
@@ -118,7 +118,7 @@
                             { "health", healthName(state.health()) },
                             { "weight", state.weight() },
                             { "in_flight", state.inFlight() },
-                            { "limit", state.limit() },
+                            { "limit", state.limit(monotonicNow()) },
                             { "round_trip_us", route.roundTrip.count() },
                             { "service_time_us", state.serviceTime().count() } });
     }
--- a/packages/coordination/test/programs/caller.cpp
+++ b/packages/coordination/test/programs/caller.cpp
@@ -156,8 +156,11 @@
         for (const auto &entry : m_arguments.entries) {
             std::string failure;
             try {
-                const Answer answer
-                    = co_await send(entry, { "GET", target, {}, {}, false }, "", false);
+                ggv::HttpRequestHead head;
+                head.method = "GET";
+                head.target = target;
+                const std::string noBody;
+                const Answer answer = co_await send(entry, std::move(head), noBody, false);
                 if (answer.status == 200) {
                     take(json::parse(answer.body));
                     co_return;
@@ -165,6 +168,8 @@
             } catch (const ggv::Error &error) {
                 failure = error.what();
             }
+            if (!failure.empty())
+                std::cerr << "look-up at " << entry.address << " failed: " << failure << "\n";
         }
     }
 
--- a/packages/state/test/budget/limits_from_register_test.cpp
+++ b/packages/state/test/budget/limits_from_register_test.cpp
@@ -19,7 +19,9 @@
 RegisterContent contentWith(std::uint32_t slots, unsigned hosts)
 {
     RegisterContent content = ggv::test::sampleContent();
-    content.targets.front().slots = slots;
+    ggv::Target target = content.targets.front();
+    target.slots = slots;
+    content.targets = { target };
     for (unsigned n = 2; n < hosts; ++n)
         content.hosts.push_back(ggv::test::sampleHost("north-a", n));
     return content;
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include <ggv/transport/http/detail/beast_heads.hpp>
 #include <ggv/transport/http/detail/operation_timer.hpp>
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -107,7 +108,7 @@
         do {
             m_parser.emplace();
             m_parser->header_limit(MaxAnswerHeaderBytes);
-            m_parser->body_limit(boost::none);
+            m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
             m_parser->skip(m_toHead);
             co_await run(deadline, ResultCode::TargetConnectionLost, [this](auto token) {
                 return http::async_read_header(m_socket, m_buffer, *m_parser, token);
