--- a/packages/state/ggv/state/model/register_rules.cpp
+++ b/packages/state/ggv/state/model/register_rules.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr UnixMillis LatestInstant = 253'402'300'799'999; //!< End of the year 9999.
+constexpr std::uint64_t MaximumIncarnation = std::numeric_limits<std::int64_t>::max(); //!< Of TOML.
 constexpr std::size_t MaximumPathLength = 1024;
 constexpr std::size_t MaximumMethodLength = 32;
 
@@ -157,6 +159,7 @@
         checkEndpoint("callers", host.callers, {});
         checkEndpoint("operators", host.operators, {});
         checkEndpoint("internal", host.internal, {});
+        checkRange<std::uint64_t>("incarnation", host.incarnation, 0, MaximumIncarnation);
     }
 
     void checkEntity(const HostName &voter) { checkVoter(voter); }
--- a/packages/state/test/model/register_test.cpp
+++ b/packages/state/test/model/register_test.cpp
@@ -30,6 +30,7 @@
     { [](auto &c) { c.hosts[0].callers.port = 0; }, "callers: needs an IP address" },
     { [](auto &c) { c.hosts[0].internal.address = "localhost"; }, "internal: needs an IP" },
     { [](auto &c) { c.hosts[0].internal = c.hosts[1].callers; }, "port 8080 is given twice" },
+    { [](auto &c) { c.hosts[0].incarnation = ~0ULL; }, "incarnation: must be from 0" },
     { [](auto &c) { c.controlVoters[0] = HostName("gone"); }, "no entry host is named \"gone\"" },
     { [](auto &c) { c.controlVoters[0] = HostName("south-a-h1"); }, "has no disk" },
     { [](auto &c) { c.controlVoters[0] = c.controlVoters[1]; }, "is given twice" },
