Answer position probes without a log entry

Entry hosts ask for the position of a claim group every 500 ms. A member that takes part answers from what it has applied; proposing them would have synced a log entry for each. A client whose group lists no members sends nothing.

--- a/packages/coordination/ggv/coordination/claims/claim_client.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.cpp
@@ -81,7 +81,7 @@
 
 void ClaimClient::Implementation::setMembers(std::vector<MemberId> members)
 {
-    const auto leader = m_members[m_member];
+    const auto leader = m_members.empty() ? 0 : m_members[m_member];
     m_members = std::move(members);
     const auto it = std::find(m_members.begin(), m_members.end(), leader);
     m_member = it == m_members.end() ? 0 : static_cast<std::size_t>(it - m_members.begin());
@@ -222,6 +222,8 @@
 void ClaimClient::Implementation::send(Calls::iterator call, Instant now)
 {
     schedule(call, now + m_options.resendAfter);
+    if (m_members.empty())
+        return;
     const ClaimCallId id { m_process, call->first };
     m_output.sends.push_back({ m_members[m_member], { id, call->second.command } });
 }
@@ -241,7 +243,7 @@
         m_member = static_cast<std::size_t>(it - m_members.begin());
         return;
     }
-    if (now < m_nextRotation)
+    if (now < m_nextRotation || m_members.empty())
         return;
     m_nextRotation = now + m_options.notLeaderDelay;
     m_member = (m_member + 1) % m_members.size();
--- a/packages/coordination/ggv/coordination/claims/claim_client.hpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.hpp
@@ -67,7 +67,7 @@
     /**
      * @brief Creates a client.
      * @param process Random number that this process drew when it started; part of every ClaimId.
-     * @param members Members of the claim group; not empty.
+     * @param members Members of the claim group; while there are none, nothing is sent.
      * @param options Timing and bounds.
      */
     ClaimClient(std::uint64_t process, std::vector<MemberId> members,
@@ -76,7 +76,7 @@
     ClaimClient(const ClaimClient &) = delete;
     ClaimClient &operator=(const ClaimClient &) = delete;
 
-    //! @param members Members of the claim group from now on; not empty.
+    //! @param members Members of the claim group from now on.
     void setMembers(std::vector<MemberId> members);
 
     //! @return Newest known position of the group; note it when a request arrives.
--- a/packages/coordination/ggv/coordination/claims/claim_desk.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_desk.cpp
@@ -102,12 +102,23 @@
             m_onSend(host, ClaimGroupCall { group, encodeClaimCall(send.call) });
         return;
     }
-    propose(group, send.call, [alive = m_alive, group](ClaimCallAnswer answer) {
+    answer(group, send.call, [alive = m_alive, group](ClaimCallAnswer answer) {
         if (*alive != nullptr)
             (*alive)->receive(ClaimGroupAnswer { group, encodeClaimCallAnswer(answer) });
     });
 }
 
+// Every member answers a probe from what it has applied; only the leader takes commands.
+void ClaimDesk::answer(const std::string &group, const ClaimCall &call,
+                       const std::function<void(ClaimCallAnswer)> &onAnswer)
+{
+    const auto *machine = dynamic_cast<const ClaimMachine *>(m_quorums.machineOf(group));
+    if (machine != nullptr && std::holds_alternative<ClaimProbe>(call.command))
+        onAnswer({ call.id, ResultCode::Ok, 0, machine->probeReply() });
+    else
+        propose(group, call, onAnswer);
+}
+
 void ClaimDesk::propose(const std::string &group, const ClaimCall &call,
                         std::function<void(ClaimCallAnswer)> onAnswer)
 {
@@ -129,10 +140,10 @@
 
 void ClaimDesk::receive(const HostName &from, const ClaimGroupCall &call)
 {
-    propose(call.group, decodeClaimCall(call.call),
-            [onSend = m_onSend, from, group = call.group](const ClaimCallAnswer &answer) {
-                onSend(from, ClaimGroupAnswer { group, encodeClaimCallAnswer(answer) });
-            });
+    answer(call.group, decodeClaimCall(call.call),
+           [onSend = m_onSend, from, group = call.group](const ClaimCallAnswer &answer) {
+               onSend(from, ClaimGroupAnswer { group, encodeClaimCallAnswer(answer) });
+           });
 }
 
 void ClaimDesk::receive(const ClaimGroupAnswer &answer)
--- a/packages/coordination/ggv/coordination/claims/claim_desk.hpp
+++ b/packages/coordination/ggv/coordination/claims/claim_desk.hpp
@@ -61,6 +61,8 @@
     [[nodiscard]] std::vector<MemberId> membersOf(const std::vector<HostName> &voters) const;
     void perform(const std::string &name, Group &group);
     void send(const std::string &group, const ClaimSend &send);
+    void answer(const std::string &group, const ClaimCall &call,
+                const std::function<void(ClaimCallAnswer)> &onAnswer);
     void propose(const std::string &group, const ClaimCall &call,
                  std::function<void(ClaimCallAnswer)> onAnswer);
 
--- a/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
@@ -58,6 +58,12 @@
 
 bool QuorumSet::contains(const std::string &group) const { return m_members.contains(group); }
 
+const StateMachine *QuorumSet::machineOf(const std::string &group) const
+{
+    const auto it = m_members.find(group);
+    return it == m_members.end() ? nullptr : it->second.machine.get();
+}
+
 Quorum *QuorumSet::find(const std::string &group)
 {
     const auto it = m_members.find(group);
--- a/packages/coordination/ggv/coordination/quorum/quorum_set.hpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.hpp
@@ -53,6 +53,8 @@
     [[nodiscard]] bool contains(const std::string &group) const;
     //! @return The member, or null.
     [[nodiscard]] Quorum *find(const std::string &group);
+    //! @return What the member has applied, or null.
+    [[nodiscard]] const StateMachine *machineOf(const std::string &group) const;
     //! Learns which identity a host has now.
     void learnMember(const HostName &host, MemberId member);
     //! Hands a message to its quorum.
