--- a/packages/state/bench/decision/measurements.cpp
+++ b/packages/state/bench/decision/measurements.cpp
@@ -127,8 +127,10 @@
     figures.peakShiftPercent = 100.0 * m_peakShift;
     figures.capViolations = m_capViolations;
     figures.slotOverloads = m_slotOverloads;
-    figures.lastNewWork = toSeconds(m_lastNewWork - FaultStart);
-    figures.lastRequest = toSeconds(m_lastRequest - FaultStart);
+    if (m_scenario.drain) {
+        figures.lastNewWork = toSeconds(m_lastNewWork - FaultStart);
+        figures.lastRequest = toSeconds(m_lastRequest - FaultStart);
+    }
     figures.lateNewWork = static_cast<double>(m_lateNewWork);
     figures.recovery = recovery();
     figures.amplification = static_cast<double>(m_attemptsSinceFault)
--- a/packages/state/bench/decision/measurements.hpp
+++ b/packages/state/bench/decision/measurements.hpp
@@ -41,7 +41,7 @@
     std::uint64_t capViolations = 0; //!< Shifted requests over the cap of a second.
     std::uint64_t slotOverloads = 0; //!< Requests that found all slots of their target in use.
     std::uint64_t linkOverloads = 0; //!< Seconds in which a link was offered more than it carries.
-    double lastNewWork = 0.0; //!< Seconds from the decision to drain; negative if there was none.
+    double lastNewWork = 0.0; //!< Seconds from the decision to drain; 0 without a drain.
     double lastRequest = 0.0; //!< Seconds from the decision to drain.
     double lateNewWork = 0.0; //!< Requests sent to a drained target after its time.
     double recovery = 0.0; //!< Seconds from the end of a slow period until 99% are served for good.
--- a/packages/state/bench/decision/scenario.cpp
+++ b/packages/state/bench/decision/scenario.cpp
@@ -118,7 +118,7 @@
             arrived += rate;
         }
     }
-    return lost / arrived;
+    return std::max(0.0, lost / arrived);
 }
 
 } // namespace ggv::bench
--- a/packages/state/ggv/state/steering/entry_weights.hpp
+++ b/packages/state/ggv/state/steering/entry_weights.hpp
@@ -20,7 +20,7 @@
 //! Parameters of entryWeights().
 struct EntryWeightPolicy
 {
-    double fullUse = 0.9; //!< Share of the capacity that callers of other domains may fill up to.
+    double fullUse = 0.95; //!< Share of the capacity that callers of other domains may fill up to.
 
     [[nodiscard]] auto operator<=>(const EntryWeightPolicy &) const noexcept = default;
 };
--- a/packages/state/test/steering/entry_weights_test.cpp
+++ b/packages/state/test/steering/entry_weights_test.cpp
@@ -14,6 +14,7 @@
 using namespace ggv;
 
 constexpr double Tolerance = 1e-9;
+constexpr EntryWeightPolicy Policy { 0.9 };
 
 std::vector<DomainLoad> anyDomains()
 {
@@ -30,7 +31,7 @@
 std::vector<double> weightsOf(const std::vector<DomainLoad> &domains, std::size_t from)
 {
     std::vector<double> weights(domains.size());
-    entryWeights(domains, from, {}, weights);
+    entryWeights(domains, from, Policy, weights);
     return weights;
 }
 
@@ -72,9 +73,8 @@
                 for (std::size_t n = 0; n < domains.size(); ++n)
                     arriving[n] += n == from ? 0.0 : weights[n] * domains[from].demand;
             }
-            const EntryWeightPolicy policy;
             for (std::size_t n = 0; n < domains.size(); ++n) {
-                const double room = domains[n].capacity * policy.fullUse - domains[n].demand;
+                const double room = domains[n].capacity * Policy.fullUse - domains[n].demand;
                 RC_ASSERT(arriving[n] <= std::max(0.0, room) + 1e-6);
             }
         }));
