--- a/packages/state/bench/decision/simulation.cpp
+++ b/packages/state/bench/decision/simulation.cpp
@@ -293,9 +293,9 @@
     for (std::size_t n = 0; n < ServiceCount; ++n) {
         for (std::size_t target = 0; target < m_targets[n].size(); ++target) {
             auto homes = byDomain[domainOfTarget(target)];
-            std::ranges::rotate(
-                homes,
-                homes.begin() + static_cast<std::ptrdiff_t>((target / DomainCount) % homes.size()));
+            const auto turn = (target / DomainCount) % homes.size();
+            std::rotate(homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(turn),
+                        homes.end());
             m_grantor.slots[n].emplace_back(m_deployment.services[n].slots, homes, m_hosts.size());
         }
     }
