Leave 0.4 of the slots in use when only latency is high

Cause: with a third of the targets slow for reasons other than their concurrency, the latency gradient took up to 0.9 of their slots away. 503s and timeouts still lower the share to 0.1.

--- a/packages/state/ggv/state/admission/adaptive_limit.cpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.cpp
@@ -31,18 +31,21 @@
 {
     observeLatency(static_cast<double>(latency.count()));
     if (isSlow())
-        drop(m_policy.latencyTolerance * m_usualLatency / m_recentLatency, now);
+        drop(m_policy.latencyTolerance * m_usualLatency / m_recentLatency, m_policy.slowShare, now);
     else
         grow(now);
 }
 
-void AdaptiveLimit::onOverload(Instant now) noexcept { drop(m_policy.dropFactor, now); }
+void AdaptiveLimit::onOverload(Instant now) noexcept
+{
+    drop(m_policy.dropFactor, m_policy.minimumShare, now);
+}
 
 void AdaptiveLimit::onReport(const TargetLoadReport &report, Instant now) noexcept
 {
     m_reportedSlots = report.slots;
     if (report.inFlight > report.slots)
-        drop(m_policy.dropFactor, now);
+        drop(m_policy.dropFactor, m_policy.minimumShare, now);
 }
 
 void AdaptiveLimit::reset() noexcept
@@ -84,12 +87,12 @@
     m_grownAt = std::max(m_grownAt, now);
 }
 
-void AdaptiveLimit::drop(double factor, Instant now) noexcept
+void AdaptiveLimit::drop(double factor, double floor, Instant now) noexcept
 {
     if (m_droppedAt != Instant::min() && now - m_droppedAt < m_policy.dropInterval)
         return;
     const double bounded = std::clamp(factor, m_policy.dropFactor, 1.0);
-    m_share = std::max(m_policy.minimumShare, m_share * bounded);
+    m_share = std::min(m_share, std::max(floor, m_share * bounded));
     m_droppedAt = now;
     m_grownAt = std::max(m_grownAt, now);
 }
--- a/packages/state/ggv/state/admission/adaptive_limit.hpp
+++ b/packages/state/ggv/state/admission/adaptive_limit.hpp
@@ -11,6 +11,7 @@
 struct AdaptiveLimitPolicy
 {
     double minimumShare = 0.1; //!< Share of the leased slots that is always kept in use.
+    double slowShare = 0.4; //!< Share that high latency alone leaves in use.
     double coldShare = 0.25; //!< Share at which a cold target starts.
     double dropFactor = 0.7; //!< Factor on the share after a sign of overload.
     Duration dropInterval { 200'000 }; //!< At most one drop in this time.
@@ -77,7 +78,7 @@
     AdaptiveLimit(const AdaptiveLimitPolicy &policy, double share) noexcept;
     void observeLatency(double latency) noexcept;
     void grow(Instant now) noexcept;
-    void drop(double factor, Instant now) noexcept;
+    void drop(double factor, double floor, Instant now) noexcept;
     [[nodiscard]] bool isSlow() const noexcept;
 
     AdaptiveLimitPolicy m_policy;
--- a/packages/state/test/admission/adaptive_limit_test.cpp
+++ b/packages/state/test/admission/adaptive_limit_test.cpp
@@ -74,6 +74,9 @@
         succeed(limit, Usual, 100, now);
         succeed(limit, 6 * Usual, 20, now);
         CPPUNIT_ASSERT(limit.limit(Leased) < Leased / 2);
+        for (int n = 0; n < 10; ++n)
+            succeed(limit, Usual * (1 << n), 10, now);
+        CPPUNIT_ASSERT(limit.limit(Leased) >= 2 * Leased / 5);
     }
 
     void coldTargetRampsUp()
