--- a/packages/coordination/ggv/coordination/claims/claim_desk.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_desk.cpp
@@ -18,6 +18,7 @@
 std::vector<MemberId> ClaimDesk::membersOf(const std::vector<HostName> &voters) const
 {
     std::vector<MemberId> members;
+    members.reserve(voters.size());
     for (const auto &host : voters)
         members.push_back(m_quorums.memberOf(host));
     return members;
@@ -102,7 +103,7 @@
             m_onSend(host, ClaimGroupCall { group, encodeClaimCall(send.call) });
         return;
     }
-    answer(group, send.call, [alive = m_alive, group](ClaimCallAnswer answer) {
+    answer(group, send.call, [alive = m_alive, group](const ClaimCallAnswer &answer) {
         if (*alive != nullptr)
             (*alive)->receive(ClaimGroupAnswer { group, encodeClaimCallAnswer(answer) });
     });
