--- a/packages/state/test/budget/budget_guard_test.cpp
+++ b/packages/state/test/budget/budget_guard_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(withoutLeaderLeaseNothingIsGranted);
     CPPUNIT_TEST(anEarlierProcessIsIgnored);
     CPPUNIT_TEST(evidenceOlderThanTheLastRequestIsIgnored);
+    CPPUNIT_TEST(aRaiseForAnotherVersionHasNoEffect);
     CPPUNIT_TEST(marginsCoverBothClocks);
     CPPUNIT_TEST_SUITE_END();
 
@@ -104,12 +105,25 @@
         auto ledger = makeLedger();
         CPPUNIT_ASSERT(ledger.answer(wantAll(Other, 1, 1), Start, { true, 1 }));
         CPPUNIT_ASSERT(ledger.answer(wantAll(Host, 1, 1), AfterGrace, { true, 1 }));
-        ledger.noteStopped({ Host, AfterGrace - 1s, AfterGrace + 1ms });
+        ledger.noteStopped({ Host, AfterGrace - 1ms, AfterGrace + 1ms });
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, ledger.use(Slots, AfterGrace + 2500ms).fixed);
         ledger.noteStopped({ Host, AfterGrace + 1s, AfterGrace + 1s });
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, ledger.use(Slots, AfterGrace + 3500ms).fixed);
     }
 
+    void aRaiseForAnotherVersionHasNoEffect()
+    {
+        auto holder = makeHolder(1);
+        holder.adoptRegister(1, { { Slots, 4 } });
+        for (const ggv::RegisterVersion version : { 2U, 1U }) {
+            LeaseGrant grant = grantOf(holder.request({}, Start + 3s), 0, false);
+            grant.registerVersion = version;
+            grant.fixed = { { Slots, 4 } };
+            CPPUNIT_ASSERT(holder.accept(grant, Start + 3s));
+            CPPUNIT_ASSERT_EQUAL(BudgetUnits(version == 1 ? 4 : 0), holder.usable(Slots, Start + 3s));
+        }
+    }
+
     void marginsCoverBothClocks()
     {
         const ggv::BudgetTiming timing;
