--- a/packages/state/test/budget/budget_guard_test.cpp
+++ b/packages/state/test/budget/budget_guard_test.cpp
@@ -120,7 +120,8 @@
             grant.registerVersion = version;
             grant.fixed = { { Slots, 4 } };
             CPPUNIT_ASSERT(holder.accept(grant, Start + 3s));
-            CPPUNIT_ASSERT_EQUAL(BudgetUnits(version == 1 ? 4 : 0), holder.usable(Slots, Start + 3s));
+            CPPUNIT_ASSERT_EQUAL(BudgetUnits(version == 1 ? 4 : 0),
+                                 holder.usable(Slots, Start + 3s));
         }
     }
 
