Send a refused claim to the leader that was named

Cause: the first claim of a host was never answered: a refusal names the leader, but the resend that follows it moved on to the next member, which refused again, until the deadline. Ruled out: lost connections (claims went on failing with all of them open), stale positions. The test of the named leader now checks where the claim is sent; it failed before. Conclusion: only silence makes the client suspect a member.

--- a/packages/coordination/ggv/coordination/claims/claim_client.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.cpp
@@ -15,6 +15,7 @@
     ClaimCommand command;
     Instant end; // Given up then.
     Instant nextSend;
+    bool refused = false; // The last sending was answered, so its member is not silent.
 
     [[nodiscard]] Instant due() const noexcept { return std::min(end, nextSend); }
 };
@@ -137,6 +138,7 @@
     // The command is the same whoever gets it, so it may be sent again whether or not it was
     // accepted.
     follow(answer.leader, now);
+    it->second.refused = true;
     schedule(it, std::min(it->second.nextSend, now + m_options.notLeaderDelay));
 }
 
@@ -197,9 +199,10 @@
 
 void ClaimClient::Implementation::resend(const std::vector<Calls::iterator> &calls, Instant now)
 {
-    if (calls.empty())
-        return;
-    follow(0, now);
+    const bool silent = std::any_of(calls.begin(), calls.end(),
+                                    [](const auto &it) { return !it->second.refused; });
+    if (silent)
+        follow(0, now);
     for (const auto it : calls)
         send(it, now);
 }
@@ -216,11 +219,12 @@
 ClaimClient::Implementation::begin(std::uint64_t sequence, ClaimCommand command, Instant end,
                                    Instant now)
 {
-    return m_calls.emplace(sequence, PendingCall { std::move(command), end, now }).first;
+    return m_calls.emplace(sequence, PendingCall { std::move(command), end, now, false }).first;
 }
 
 void ClaimClient::Implementation::send(Calls::iterator call, Instant now)
 {
+    call->second.refused = false;
     schedule(call, now + m_options.resendAfter);
     if (m_members.empty())
         return;
--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -470,6 +470,11 @@
             for (const auto &host : votersOf(group))
                 m_network->connect(host);
         }
+        // A claim must not wait for a connection.
+        for (const auto &group : known().content().claimGroups) {
+            for (const auto &host : group.voters)
+                m_network->connect(host);
+        }
     }
 
     HostReport ownReport()
--- a/packages/coordination/test/claims/claim_client_test.cpp
+++ b/packages/coordination/test/claims/claim_client_test.cpp
@@ -114,6 +114,7 @@
             bench.client.tick(Start + milliseconds(50));
             const auto again = bench.take();
             CPPUNIT_ASSERT(again.size() == 1 && again.front().call == call);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, again.front().to);
         }
     }
 
