--- a/packages/state/bench/budget/budget_bench.cpp
+++ b/packages/state/bench/budget/budget_bench.cpp
@@ -105,15 +105,10 @@
     std::size_t requestBytes = 0;
     std::size_t grantBytes = 0;
     Instant now = Start;
-    const auto exchange = [&] {
-        const auto demands = demandsOf(host, hosts);
-        const auto request = holders[host].request(demands, now);
-        return request;
-    };
+    const auto exchange = [&] { return holders[host].request(demandsOf(host, hosts), now); };
     const ggv::Duration step(500000 / static_cast<ggv::Duration::rep>(hosts));
     const auto answer = [&](const ggv::LeaseRequest &request) {
-        const auto grant = ledger.answer(request, now, { true, 1 });
-        return grant;
+        return ledger.answer(request, now, { true, 1 });
     };
     const auto next = [&](const ggv::LeaseGrant &grant) {
         holders[host].accept(grant, now);
@@ -122,7 +117,7 @@
     };
     for (std::size_t n = 0; n < hosts * 14; ++n) // Seven seconds: past the grace time.
         next(*answer(exchange()));
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         state.PauseTiming();
         const auto request = exchange();
         state.ResumeTiming();
@@ -144,7 +139,7 @@
     static ggv::SlotGate gate;
     if (state.thread_index() == 0)
         gate.setLimit(1000, Never, 0);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(gate.tryAcquire(Start));
 }
 
@@ -154,7 +149,7 @@
     if (state.thread_index() == 0)
         bucket.setRate(~0U, Never, Start);
     Instant now = Start;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         now += ggv::Duration(1);
         benchmark::DoNotOptimize(bucket.tryTake(1, now));
     }
