--- a/packages/coordination/ggv/coordination/claims/claim_client.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.cpp
@@ -40,6 +40,7 @@
     [[nodiscard]] std::optional<ClaimId> claim(ClaimRequest request, Instant deadline, Instant now);
     void abandon(const ClaimId &claim, Instant now);
     void settle(ClaimCommand command, Instant now);
+    void settleUntil(ClaimCommand command, Instant end, Instant now);
     void receive(const ClaimCallAnswer &answer, Instant now);
     void tick(Instant now);
 
@@ -80,7 +81,7 @@
 
 void ClaimClient::Implementation::setMembers(std::vector<MemberId> members)
 {
-    const auto leader = m_members[m_member];
+    const auto leader = m_members.empty() ? 0 : m_members[m_member];
     m_members = std::move(members);
     const auto it = std::find(m_members.begin(), m_members.end(), leader);
     m_member = it == m_members.end() ? 0 : static_cast<std::size_t>(it - m_members.begin());
@@ -110,7 +111,11 @@
     // One that is dropped leaves its key without a known result, which is safe.
     if (m_calls.size() - m_claimCount >= m_options.maxSettlements)
         return;
-    const auto end = now + m_options.settleLifetime;
+    settleUntil(std::move(command), now + m_options.settleLifetime, now);
+}
+
+void ClaimClient::Implementation::settleUntil(ClaimCommand command, Instant end, Instant now)
+{
     send(begin(m_nextSequence++, std::move(command), end, now), now);
 }
 
@@ -204,7 +209,7 @@
     if (now < m_nextProbe)
         return;
     m_nextProbe = now + m_options.probeInterval;
-    settle(ClaimProbe {}, now);
+    settleUntil(ClaimProbe {}, m_nextProbe, now);
 }
 
 ClaimClient::Implementation::Calls::iterator
@@ -217,6 +222,8 @@
 void ClaimClient::Implementation::send(Calls::iterator call, Instant now)
 {
     schedule(call, now + m_options.resendAfter);
+    if (m_members.empty())
+        return;
     const ClaimCallId id { m_process, call->first };
     m_output.sends.push_back({ m_members[m_member], { id, call->second.command } });
 }
@@ -236,7 +243,7 @@
         m_member = static_cast<std::size_t>(it - m_members.begin());
         return;
     }
-    if (now < m_nextRotation)
+    if (now < m_nextRotation || m_members.empty())
         return;
     m_nextRotation = now + m_options.notLeaderDelay;
     m_member = (m_member + 1) % m_members.size();
--- a/packages/state/test/storage/log_store_test.cpp
+++ b/packages/state/test/storage/log_store_test.cpp
@@ -153,8 +153,10 @@
     CPPUNIT_TEST(keepsEverythingAcrossOpens);
     CPPUNIT_TEST(refusesStoreOfAnotherMember);
     CPPUNIT_TEST(refusesLostFiles);
+    CPPUNIT_TEST(refusesFilesThatDoNotJoin);
     CPPUNIT_TEST(refusesEveryFlippedBitOfDurableData);
     CPPUNIT_TEST(crashAtEveryStepKeepsWhatWasSynced);
+    CPPUNIT_TEST(recoveredEntriesAreDurable);
     CPPUNIT_TEST(syncsOnceForManyEntries);
     CPPUNIT_TEST(dropsFilesThatSnapshotsCover);
     CPPUNIT_TEST(staysFailedAfterFailedSync);
@@ -202,6 +204,21 @@
         CPPUNIT_ASSERT(ResultCode::StorageCorrupt == openCode(disk));
     }
 
+    void refusesFilesThatDoNotJoin()
+    {
+        FakeDisk disk;
+        const auto store = openStore(disk);
+        store->saveHardState({ 3, 1 });
+        store->append(makeEntries(1, 6, 2));
+        store->saveSnapshot({ 3, 2, {}, {} });
+        store->append(makeEntries(7, 2, 2));
+        store->sync();
+        const std::string name = "q-log.00000000000000000001";
+        disk.truncate(name, disk.size(name) - 60);
+        disk.sync(name);
+        CPPUNIT_ASSERT(ResultCode::StorageCorrupt == openCode(disk));
+    }
+
     void refusesEveryFlippedBitOfDurableData()
     {
         const FakeDisk intact = usedDisk();
@@ -235,6 +252,19 @@
         }));
     }
 
+    // A process that ends leaves its unsynced writes to the next one; a power loss takes them.
+    void recoveredEntriesAreDurable()
+    {
+        FakeDisk disk;
+        std::mt19937_64 random;
+        const auto first = openStore(disk);
+        first->append({ makeEntry(1, 1, 2'000'000) });
+        const std::size_t recovered = openStore(disk)->takeRecovered().entries.size();
+        disk.crash(random, FakeDisk::Loss::Everything);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, recovered);
+        CPPUNIT_ASSERT_EQUAL(recovered, openStore(disk)->takeRecovered().entries.size());
+    }
+
     void syncsOnceForManyEntries()
     {
         FakeDisk disk;
