--- a/packages/coordination/test/programs/caller.cpp
+++ b/packages/coordination/test/programs/caller.cpp
@@ -48,6 +48,9 @@
     int rate = 0; //!< Requests a second, over all workers; 0: as fast as answers come.
     int timeoutMs = 2000;
     int attempts = 4;
+    bool expectDone = false; //!< Fail unless every request ends with "done".
+    std::string avoid; //!< Fail if this target answers.
+    std::string key; //!< Idempotency key of all requests; empty: a new one for each.
 };
 
 //! An answer read whole.
@@ -103,6 +106,16 @@
                    std::chrono::duration<double>(ggv::monotonicNow() - m_startedAt).count() } };
     }
 
+    //! @return What differs from what the command line expects; empty if nothing does.
+    std::string unexpected() const
+    {
+        if (m_arguments.expectDone && (m_verdicts.size() != 1 || !m_verdicts.contains("done")))
+            return "not every request is done";
+        if (!m_arguments.avoid.empty() && m_targets.contains(m_arguments.avoid))
+            return "target " + m_arguments.avoid + " got work";
+        return {};
+    }
+
 private:
     asio::awaitable<void> pace(int number)
     {
@@ -216,7 +229,8 @@
     asio::awaitable<void> request()
     {
         const Instant begun = ggv::monotonicNow();
-        const std::string key = "key-" + std::to_string(m_random());
+        const std::string key
+            = m_arguments.key.empty() ? "key-" + std::to_string(m_random()) : m_arguments.key;
         std::string verdict = "unanswered";
         for (int attempt = 0; attempt < m_arguments.attempts; ++attempt) {
             co_await lookUp();
@@ -295,7 +309,10 @@
             context, [&caller] { return caller.work(); }, asio::detached);
     context.run();
     std::cout << caller.report().dump() << std::endl;
-    return 0;
+    const std::string fault = caller.unexpected();
+    if (!fault.empty())
+        std::cerr << fault << "\n";
+    return fault.empty() ? 0 : 1;
 }
 
 } // namespace
@@ -306,7 +323,10 @@
     char *service = nullptr;
     char *client = nullptr;
     char *path = nullptr;
+    char *avoid = nullptr;
+    char *key = nullptr;
     int post = 0;
+    int expectDone = 0;
     Arguments arguments;
     const poptOption options[]
         = { { "entries", 'e', POPT_ARG_STRING, &entries, 0, "Entry hosts", "ADDR:PORT,..." },
@@ -319,6 +339,9 @@
             { "rate", 0, POPT_ARG_INT, &arguments.rate, 0, "Requests a second", "N" },
             { "timeout-ms", 0, POPT_ARG_INT, &arguments.timeoutMs, 0, "Deadline", "MS" },
             { "attempts", 0, POPT_ARG_INT, &arguments.attempts, 0, "Most attempts", "N" },
+            { "expect-done", 0, POPT_ARG_NONE, &expectDone, 0, "Fail if one is not done", nullptr },
+            { "avoid", 0, POPT_ARG_STRING, &avoid, 0, "Fail if it answers", "TARGET" },
+            { "key", 'k', POPT_ARG_STRING, &key, 0, "Idempotency key", "KEY" },
             POPT_AUTOHELP POPT_TABLEEND };
     poptContext context
         = poptGetContext(nullptr, argc, const_cast<const char **>(argv), options, 0); // NOLINT
@@ -334,6 +357,9 @@
         arguments.client = client == nullptr ? "" : client;
         arguments.path = path == nullptr ? "/" : path;
         arguments.post = post != 0;
+        arguments.expectDone = expectDone != 0;
+        arguments.avoid = avoid == nullptr ? "" : avoid;
+        arguments.key = key == nullptr ? "" : key;
         return run(std::move(arguments));
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
