Add metrics and request spans

Cause: operators could not see how requests end, how far targets are from their leased slots, or where the time of one request goes.

Counters and histograms of a service are looked up once, when a register comes in force. Gauges that follow the request path were ruled out: they repeat the atomics of the slot gates and outlive their target. They are read at the scrape instead. For the demand on links and shift caps, RateGate now keeps the total and remembers what was taken, so that a scrape does not change what the leases see.

Spans go through the OpenTracing API to a bounded queue with a writer of its own; a writer on the request path was ruled out, as a slow disk would slow requests. The headers are W3C Trace Context; anything invalid begins a new trace.

--- a/packages/coordination/ggv/coordination/entry/entry_context.hpp
+++ b/packages/coordination/ggv/coordination/entry/entry_context.hpp
@@ -9,8 +9,12 @@
 #include <atomic>
 #include <memory>
 
+#include <opentracing/tracer.h>
+
 namespace ggv {
 
+class Metrics;
+
 //! What all requests of an entry host share.
 struct EntryContext
 {
@@ -20,6 +24,8 @@
     RcuCell<LookupTable> lookups { nullptr };
     ControlPlane *control = nullptr;
     TargetBoard *board = nullptr;
+    Metrics *metrics = nullptr; //!< May be null.
+    std::shared_ptr<const opentracing::Tracer> tracer; //!< Null: no spans.
     std::atomic<bool> leaving = false;
 };
 
--- a/packages/coordination/ggv/coordination/entry/entry_view.hpp
+++ b/packages/coordination/ggv/coordination/entry/entry_view.hpp
@@ -15,6 +15,8 @@
 
 namespace ggv {
 
+class ServiceMetrics;
+
 //! A target as one entry host sees it.
 struct TargetRoute
 {
@@ -32,6 +34,7 @@
     std::atomic<bool> unmet = false; //!< A request found no free slot since the last lease.
     std::atomic<std::uint32_t> queued = 0; //!< Requests that wait for a slot.
     std::atomic<Duration::rep> serviceTime = 0; //!< Mean time that a request holds a slot.
+    std::atomic<ServiceMetrics *> metrics = nullptr; //!< Null only before Metrics::attach().
 };
 
 //! A service as one entry host sees it.
--- a/packages/coordination/ggv/coordination/entry/rate_gate.hpp
+++ b/packages/coordination/ggv/coordination/entry/rate_gate.hpp
@@ -36,7 +36,16 @@
         return m_bucket.waitTime(now) == Duration(0);
     }
     //! @return Demand since the last call.
-    [[nodiscard]] std::uint64_t takeDemand() noexcept { return m_demand.exchange(0); }
+    [[nodiscard]] std::uint64_t takeDemand() noexcept
+    {
+        const std::uint64_t total = demandTotal();
+        return total - m_taken.exchange(total);
+    }
+    //! @return Demand since the start.
+    [[nodiscard]] std::uint64_t demandTotal() const noexcept
+    {
+        return m_demand.load(std::memory_order_relaxed);
+    }
     //! Sets the leased rate until an instant.
     void setRate(BudgetUnits unitsPerSecond, Instant until, Instant now) noexcept
     {
@@ -45,7 +54,8 @@
 
 private:
     TokenBucket m_bucket;
-    std::atomic<std::uint64_t> m_demand = 0;
+    std::atomic<std::uint64_t> m_demand = 0; //!< Since the start.
+    std::atomic<std::uint64_t> m_taken = 0; //!< Part of the demand that takeDemand() returned.
 };
 
 /**
--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/coordination/entry/headers.hpp>
 #include <ggv/coordination/entry/system_answer.hpp>
+#include <ggv/coordination/observability/metrics.hpp>
 
 #include <algorithm>
 #include <array>
@@ -44,6 +45,37 @@
                        [name](std::string_view it) { return equalsIgnoreCase(it, name); });
 }
 
+std::string outcomeName(TargetOutcome outcome)
+{
+    switch (outcome) {
+    case TargetOutcome::Success:
+        return "success";
+    case TargetOutcome::Overloaded:
+        return "overloaded";
+    case TargetOutcome::Refused:
+        return "refused";
+    case TargetOutcome::TimedOut:
+        return "timed out";
+    case TargetOutcome::Reset:
+        return "reset";
+    }
+    return "unlisted";
+}
+
+bool isTraceHeader(std::string_view name)
+{
+    return equalsIgnoreCase(name, TraceparentHeader) || equalsIgnoreCase(name, TracestateHeader);
+}
+
+// More than one traceparent is invalid, like none.
+const std::string *traceparentOf(const HttpHeaders &headers)
+{
+    const auto count = std::count_if(headers.begin(), headers.end(), [](const HttpHeader &header) {
+        return equalsIgnoreCase(header.name, TraceparentHeader);
+    });
+    return count == 1 ? findHeader(headers, TraceparentHeader) : nullptr;
+}
+
 TargetOutcome outcomeOf(RequestEventKind kind)
 {
     switch (kind) {
@@ -68,6 +100,7 @@
     , m_view(std::move(view))
     , m_caller(caller)
     , m_startedAt(monotonicNow())
+    , m_trace(context.tracer.get(), traceparentOf(caller.head().headers))
     , m_plan(planRequest(*m_view, caller.head()))
     , m_outcome(m_startedAt + m_plan.timeLeft)
 {
@@ -181,9 +214,11 @@
 
 asio::awaitable<RequestActions> RequestDriver::claim()
 {
+    m_trace.beginHop("claim");
     m_key = digestKey(m_plan.route->service->name, m_plan.key);
     ClaimAnswer answer = co_await awaitClaim(m_loop.context(), *m_context.control, m_claimGroup,
                                              claimRequest(), m_startedAt + m_plan.timeLeft);
+    m_trace.endHop();
     m_claim = answer.claim;
     if (!answer.outcome) {
         m_message = "the claim group did not answer";
@@ -202,11 +237,15 @@
 {
     endExchange(false);
     AdmissionRefusal refusal;
+    m_trace.beginHop("admission");
     m_target = co_await m_loop.admit(m_view, *m_plan.route, m_tried, m_startedAt + m_plan.timeLeft,
                                      m_callerGone, refusal);
+    m_trace.endHop();
     if (*m_callerGone)
         co_return apply(RequestEventKind::CallerGone);
     if (m_target.route == nullptr) {
+        if (auto *service = metrics())
+            service->onShed();
         m_overload = std::chrono::duration<double>(refusal.retryAfter).count();
         co_return refuse(refusal.code, "no target can take the request now");
     }
@@ -215,6 +254,11 @@
         co_return chosen;
     m_tried.insert(m_target.route->state->number());
     m_sentAt = monotonicNow();
+    m_attemptAt = m_sentAt;
+    m_trace.beginHop("attempt");
+    m_trace.tagHop("target", m_target.route->target->name.text());
+    if (auto *service = metrics(); service != nullptr && m_outcome.attempt() > 1)
+        service->onRetry();
     m_headSeen = false;
     m_receivedBytes = 0;
     const Instant deadline = std::min(m_startedAt + m_plan.timeLeft, m_sentAt + ConnectTimeout);
@@ -270,10 +314,24 @@
         m_startedAt + m_plan.timeLeft - monotonicNow());
     head.headers.push_back(
         { std::string(TimeoutHeader), std::to_string(std::max<std::int64_t>(left.count(), 1)) });
+    passTrace(head.headers);
     head.headers.push_back({ "X-Forwarded-For", m_caller.peerAddress() });
     return head;
 }
 
+// The vendors' part goes on only with the trace that it belongs to.
+void RequestDriver::passTrace(HttpHeaders &headers) const
+{
+    const std::string traceparent = m_trace.traceparent();
+    if (traceparent.empty())
+        return;
+    std::erase_if(headers, [this](const HttpHeader &header) {
+        return isTraceHeader(header.name)
+            && (!m_trace.continued() || equalsIgnoreCase(header.name, TraceparentHeader));
+    });
+    headers.push_back({ std::string(TraceparentHeader), traceparent });
+}
+
 asio::awaitable<void> RequestDriver::sendRequest()
 {
     const Instant deadline = m_startedAt + m_plan.timeLeft;
@@ -372,6 +430,7 @@
 {
     if (m_target.route == nullptr)
         return;
+    m_trace.tagHop("outcome", outcomeName(outcome));
     m_context.board->observe(
         { m_target.route->state->number(), outcome, m_sentAt, monotonicNow() });
 }
@@ -394,6 +453,10 @@
 void RequestDriver::endExchange(bool reusable)
 {
     chargeLink();
+    if (m_attemptAt)
+        m_targetTime += monotonicNow() - *m_attemptAt;
+    m_attemptAt.reset();
+    m_trace.endHop();
     if (m_exchange && reusable)
         m_loop.pool().giveBack(std::move(m_exchange));
     m_exchange.reset();
@@ -401,6 +464,27 @@
     m_loop.serveQueues();
 }
 
+ServiceMetrics *RequestDriver::metrics() const
+{
+    if (m_plan.route != nullptr)
+        return m_plan.route->state->metrics.load(std::memory_order_relaxed);
+    return m_context.metrics == nullptr ? nullptr : &m_context.metrics->service(ServiceName());
+}
+
+void RequestDriver::recordResult()
+{
+    const auto &result = m_outcome.result();
+    if (!result)
+        return;
+    m_trace.endRequest(result->code, result->verdict);
+    auto *service = metrics();
+    if (service == nullptr)
+        return;
+    const Instant now = monotonicNow();
+    const Duration current = m_attemptAt ? now - *m_attemptAt : Duration(0);
+    service->onRequest(*result, now - m_startedAt, m_targetTime + current);
+}
+
 void RequestDriver::keep(const HttpAnswerHead &head)
 {
     m_kept = {};
@@ -451,6 +535,9 @@
 
 asio::awaitable<void> RequestDriver::conclude(RequestActions actions)
 {
+    recordResult();
+    if (!actions.readLateAnswer)
+        m_trace.endHop();
     settleClaim(actions);
     if (actions.cancelTarget)
         endExchange(false);
--- a/packages/coordination/ggv/coordination/entry/request_driver.hpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.hpp
@@ -4,6 +4,7 @@
 #include <ggv/coordination/entry/entry_context.hpp>
 #include <ggv/coordination/entry/entry_loop.hpp>
 #include <ggv/coordination/entry/request_plan.hpp>
+#include <ggv/coordination/observability/trace.hpp>
 #include <ggv/state/request/request_outcome.hpp>
 #include <ggv/transport/http/http_server.hpp>
 
@@ -60,6 +61,9 @@
     void keep(std::span<const std::uint8_t> bytes);
     void observe(TargetOutcome outcome);
     void chargeLink();
+    void recordResult();
+    void passTrace(HttpHeaders &headers) const;
+    [[nodiscard]] ServiceMetrics *metrics() const;
     void endExchange(bool reusable);
     [[nodiscard]] HttpRequestHead forwardedHead() const;
     [[nodiscard]] HttpAnswerHead answerHead(const HttpAnswerHead &head) const;
@@ -72,6 +76,7 @@
     std::shared_ptr<const EntryView> m_view;
     ServerExchange &m_caller;
     Instant m_startedAt;
+    RequestTrace m_trace;
     RequestPlan m_plan;
     RequestOutcome m_outcome;
     std::string m_message; //!< For the final answer.
@@ -90,6 +95,8 @@
     ChosenTarget m_target;
     std::unique_ptr<ClientExchange> m_exchange;
     Instant m_sentAt {};
+    std::optional<Instant> m_attemptAt; //!< Begin of the current attempt at a target.
+    Duration m_targetTime { 0 }; //!< Of earlier attempts at targets.
     std::uint64_t m_receivedBytes = 0; //!< Of the answer's body.
     bool m_headSeen = false; //!< The target's answer has begun.
     std::shared_ptr<bool> m_callerGone = std::make_shared<bool>(false);
--- a/packages/coordination/ggv/coordination/node/node.cpp
+++ b/packages/coordination/ggv/coordination/node/node.cpp
@@ -1,8 +1,11 @@
 #include <ggv/coordination/node/node.hpp>
 
 #include <ggv/coordination/entry/entry_service.hpp>
+#include <ggv/coordination/observability/metrics.hpp>
+#include <ggv/coordination/observability/trace.hpp>
 #include <ggv/coordination/operators/operator_api.hpp>
 #include <ggv/state/model/register_toml.hpp>
+#include <ggv/transport/net/shared_secret.hpp>
 
 #include <algorithm>
 
@@ -43,6 +46,7 @@
         : m_settings(std::move(setup.settings))
         , m_workers(m_settings.threads)
         , m_control(1)
+        , m_metrics(m_settings.domain)
         , m_board(m_settings.domain)
         , m_timer(m_control.context(0))
     {
@@ -62,6 +66,7 @@
         LOG(INFO) << "node: shutdown begins, leaving the look-ups";
         m_phase = ShutdownPhase::WaitingForLookups;
         m_shutdownAt = monotonicNow();
+        m_metrics.onDrainBegin(m_shutdownAt);
         m_context.leaving = true;
         m_plane->announceLeaving();
         boost::asio::post(m_control.context(0), [this] { rebuildLookups(); });
@@ -95,6 +100,8 @@
                   .value();
         m_context.control = m_plane.get();
         m_context.board = &m_board;
+        m_context.metrics = &m_metrics;
+        openTrace();
         m_entry = std::make_unique<EntryService>(m_workers, m_context);
         m_entry->listen(m_settings.callers, {});
         m_operators = std::make_unique<OperatorApi>(m_workers, m_settings, *m_plane, m_context);
@@ -104,6 +111,15 @@
         m_workers.start();
     }
 
+    void openTrace()
+    {
+        if (m_settings.traceFile.empty())
+            return;
+        const auto sink = FileSpanSink::open(m_settings.traceFile).value();
+        m_metrics.watchSpans(sink);
+        m_context.tracer = createTracer(sink, randomNumber());
+    }
+
     // The settings say where this process listens; the register tells everybody else.
     void checkOwnEntry(const Register &bootstrap) const
     {
@@ -119,7 +135,9 @@
         ControlHandlers handlers;
         handlers.onRegister = [this](std::shared_ptr<const Register> content) {
             m_register = std::move(content);
-            m_context.view.replace(m_board.buildView(m_register));
+            auto view = m_board.buildView(m_register);
+            m_metrics.attach(*view);
+            m_context.view.replace(std::move(view));
             rebuildLookups();
         };
         handlers.onMembership = [this](const MembershipView &view) {
@@ -174,6 +192,7 @@
         if (now - m_busyAt < QuietTime)
             return;
         LOG(INFO) << "node: all requests are finished";
+        m_metrics.onDrainEnd(now);
         m_entry->stopAccepting();
         m_phase = ShutdownPhase::Finished;
     }
@@ -181,6 +200,7 @@
     Settings m_settings;
     IoPool m_workers;
     IoPool m_control;
+    Metrics m_metrics;
     TargetBoard m_board;
     EntryContext m_context;
     std::unique_ptr<ControlPlane> m_plane;
--- /dev/null
+++ b/packages/coordination/ggv/coordination/observability/metrics.cpp
@@ -0,0 +1,305 @@
+#include <ggv/coordination/observability/metrics.hpp>
+
+#include <ggv/state/budget/budget_keys.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace ggv {
+
+namespace {
+
+constexpr std::size_t CodeCount = static_cast<std::size_t>(ResultCode::Internal) + 1;
+constexpr std::size_t VerdictCount = 3;
+
+// Upper bounds in seconds.
+const prometheus::Histogram::BucketBoundaries RequestBounds {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
+};
+const prometheus::Histogram::BucketBoundaries AddedBounds {
+    0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 5,
+};
+
+double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+using Labels = prometheus::Labels;
+
+//! The values that are read at a scrape.
+class ScrapeValues
+{
+public:
+    void gauge(const std::string &name, const std::string &help, const Labels &labels, double value)
+    {
+        prometheus::BuildGauge().Name(name).Help(help).Register(m_registry).Add(labels).Set(value);
+    }
+
+    void counter(const std::string &name, const std::string &help, const Labels &labels,
+                 std::uint64_t value)
+    {
+        auto &family = prometheus::BuildCounter().Name(name).Help(help).Register(m_registry);
+        family.Add(labels).Increment(static_cast<double>(value));
+    }
+
+    std::vector<prometheus::MetricFamily> collect() const { return m_registry.Collect(); }
+
+private:
+    prometheus::Registry m_registry { prometheus::Registry::InsertBehavior::Merge };
+};
+
+void addTarget(ScrapeValues &out, const TargetRoute &route, Instant now)
+{
+    const Labels labels { { "service", route.target->service.text() },
+                          { "target", route.target->name.text() } };
+    const double inFlight = route.state->inFlight();
+    const double leased = route.state->limit(now);
+    out.gauge("ggv_target_in_flight", "Requests in flight from this host.", labels, inFlight);
+    out.gauge("ggv_target_leased_slots", "Slots that this host may use now.", labels, leased);
+    out.gauge("ggv_target_headroom", "Leased slots less requests in flight; below 0 after a cut.",
+              labels, leased - inFlight);
+}
+
+//! Demand by key; a gate is shared by many targets.
+using Demands = std::map<BudgetKey, std::uint64_t>;
+
+void addDemand(Demands &demands, const Register &content, const FailureDomainName &domain,
+               const TargetRoute &route)
+{
+    const auto *from = content.regionOf(domain);
+    const auto *to = content.regionOf(route.target->domain);
+    if (!route.path || from == nullptr || to == nullptr)
+        return;
+    demands[linkRateKey(*from, *to)] = route.path->linkOut->demandTotal();
+    demands[linkRateKey(*to, *from)] = route.path->linkBack->demandTotal();
+    if (route.path->shift)
+        demands[shiftRateKey(route.target->service, *from, *to)] = route.path->shift->demandTotal();
+}
+
+void addDemands(ScrapeValues &out, const Demands &demands)
+{
+    for (const auto &[key, total] : demands) {
+        if (key.kind == BudgetKind::LinkRate)
+            out.counter("ggv_link_demand_kilobits_total", "Kilobits wanted on a link.",
+                        { { "link", key.subject } }, total);
+        else
+            out.counter("ggv_shift_demand_requests_total",
+                        "Requests that wanted to go to another region.",
+                        { { "shift", key.subject } }, total);
+    }
+}
+
+void addView(ScrapeValues &out, const EntryView &view, const FailureDomainName &domain, Instant now)
+{
+    Demands demands;
+    for (const auto &service : view.content().content().services) {
+        const auto *route = view.service(service.name.text());
+        if (route == nullptr)
+            continue;
+        out.gauge("ggv_queue_length", "Requests that wait for a slot.",
+                  { { "service", service.name.text() } }, route->state->queued.load());
+        for (const auto &target : route->targets) {
+            addTarget(out, target, now);
+            addDemand(demands, view.content(), domain, target);
+        }
+    }
+    addDemands(out, demands);
+}
+
+void addReport(ScrapeValues &out, const ControlReport &report)
+{
+    out.gauge("ggv_register_version", "Version of the register in force; 0: none.", {},
+              static_cast<double>(report.inForce));
+    out.gauge("ggv_leader", "1 if this host leads the control quorum.", {},
+              report.leading ? 1.0 : 0.0);
+    out.counter("ggv_peer_sent_bytes_total", "Bytes sent to other hosts.", {}, report.bytesSent);
+}
+
+} // namespace
+
+class ServiceMetrics::Implementation
+{
+public:
+    using Counters = prometheus::Family<prometheus::Counter>;
+    using Histograms = prometheus::Family<prometheus::Histogram>;
+
+    //! What all services share.
+    struct Families
+    {
+        Counters &requests;
+        Histograms &time;
+        Histograms &added;
+        Counters &retries;
+        Counters &sheds;
+    };
+
+    Implementation(const Families &families, std::string service)
+        : m_requests(families.requests)
+        , m_service(std::move(service))
+        , m_time(families.time.Add({ { "service", m_service } }, RequestBounds))
+        , m_added(families.added.Add({ { "service", m_service } }, AddedBounds))
+        , m_retries(families.retries.Add({ { "service", m_service } }))
+        , m_sheds(families.sheds.Add({ { "service", m_service } }))
+    { }
+
+    // The family returns the same counter to two threads that ask at the same time.
+    prometheus::Counter &counterOf(const RequestResult &result)
+    {
+        const auto code = std::min(static_cast<std::size_t>(result.code), CodeCount - 1);
+        const auto verdict = static_cast<std::size_t>(result.verdict);
+        auto &kept = m_results[code * VerdictCount + verdict];
+        auto *counter = kept.load(std::memory_order_acquire);
+        if (counter == nullptr) {
+            counter = &m_requests.Add({ { "service", m_service },
+                                        { "result", std::string(resultCodeName(result.code)) },
+                                        { "verdict", std::string(verdictName(result.verdict)) } });
+            kept.store(counter, std::memory_order_release);
+        }
+        return *counter;
+    }
+
+    Counters &m_requests;
+    const std::string m_service;
+    prometheus::Histogram &m_time;
+    prometheus::Histogram &m_added;
+    prometheus::Counter &m_retries;
+    prometheus::Counter &m_sheds;
+    std::array<std::atomic<prometheus::Counter *>, CodeCount * VerdictCount> m_results {};
+};
+
+ServiceMetrics::ServiceMetrics(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+ServiceMetrics::~ServiceMetrics() = default;
+
+void ServiceMetrics::onRequest(const RequestResult &result, Duration total, Duration atTargets)
+{
+    m_implementation->counterOf(result).Increment();
+    m_implementation->m_time.Observe(secondsOf(total));
+    m_implementation->m_added.Observe(secondsOf(std::max(total - atTargets, Duration(0))));
+}
+
+void ServiceMetrics::onRetry() noexcept { m_implementation->m_retries.Increment(); }
+
+void ServiceMetrics::onShed() noexcept { m_implementation->m_sheds.Increment(); }
+
+class Metrics::Implementation
+{
+public:
+    explicit Implementation(FailureDomainName domain)
+        : m_domain(std::move(domain))
+    { }
+
+    ServiceMetrics &service(const ServiceName &name)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto &kept = m_services[name];
+        if (!kept)
+            kept.reset(new ServiceMetrics(
+                std::make_unique<ServiceMetrics::Implementation>(m_families, name.text())));
+        return *kept;
+    }
+
+    double drainSeconds(Instant now) const noexcept
+    {
+        const auto begin = m_drainBegin.load();
+        if (begin == NoInstant)
+            return 0.0;
+        const auto end = m_drainEnd.load();
+        const Instant last = end == NoInstant ? now : Instant(Duration(end));
+        return secondsOf(last - Instant(Duration(begin)));
+    }
+
+    static constexpr Duration::rep NoInstant = -1;
+
+    const FailureDomainName m_domain;
+    prometheus::Registry m_registry;
+    ServiceMetrics::Implementation::Families m_families {
+        prometheus::BuildCounter()
+            .Name("ggv_requests_total")
+            .Help("Requests with a final verdict.")
+            .Register(m_registry),
+        prometheus::BuildHistogram()
+            .Name("ggv_request_seconds")
+            .Help("Time from the arrival of the head to the final verdict.")
+            .Register(m_registry),
+        prometheus::BuildHistogram()
+            .Name("ggv_added_seconds")
+            .Help("Time of a request less the time that its attempts at targets took.")
+            .Register(m_registry),
+        prometheus::BuildCounter()
+            .Name("ggv_retries_total")
+            .Help("Attempts after the first one of a request.")
+            .Register(m_registry),
+        prometheus::BuildCounter()
+            .Name("ggv_sheds_total")
+            .Help("Requests that admission refused.")
+            .Register(m_registry),
+    };
+    std::shared_ptr<const FileSpanSink> m_spans;
+    std::mutex m_mutex;
+    std::map<ServiceName, std::unique_ptr<ServiceMetrics>> m_services;
+    std::atomic<Duration::rep> m_drainBegin = NoInstant;
+    std::atomic<Duration::rep> m_drainEnd = NoInstant;
+};
+
+Metrics::Metrics(FailureDomainName domain)
+    : m_implementation(std::make_unique<Implementation>(std::move(domain)))
+{ }
+
+Metrics::~Metrics() = default;
+
+ServiceMetrics &Metrics::service(const ServiceName &service)
+{
+    return m_implementation->service(service);
+}
+
+void Metrics::attach(const EntryView &view)
+{
+    for (const auto &service : view.content().content().services) {
+        if (const auto *route = view.service(service.name.text()))
+            route->state->metrics.store(&this->service(service.name));
+    }
+}
+
+void Metrics::watchSpans(std::shared_ptr<const FileSpanSink> sink)
+{
+    m_implementation->m_spans = std::move(sink);
+}
+
+void Metrics::onDrainBegin(Instant now) noexcept
+{
+    m_implementation->m_drainBegin = now.time_since_epoch().count();
+}
+
+void Metrics::onDrainEnd(Instant now) noexcept
+{
+    m_implementation->m_drainEnd = now.time_since_epoch().count();
+}
+
+std::string Metrics::text(const EntryView *view, const ControlReport &report, Instant now) const
+{
+    ScrapeValues values;
+    addReport(values, report);
+    if (view != nullptr)
+        addView(values, *view, m_implementation->m_domain, now);
+    values.gauge("ggv_drain_seconds", "Time that this host's leaving takes or took; 0: serves.", {},
+                 m_implementation->drainSeconds(now));
+    const auto &spans = m_implementation->m_spans;
+    values.counter("ggv_spans_dropped_total", "Finished spans that were not written.", {},
+                   spans ? spans->dropped() : 0);
+    auto families = m_implementation->m_registry.Collect();
+    const auto gauges = values.collect();
+    families.insert(families.end(), gauges.begin(), gauges.end());
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace ggv
--- a/packages/coordination/ggv/coordination/operators/operator_api.cpp
+++ b/packages/coordination/ggv/coordination/operators/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/coordination/entry/query.hpp>
 #include <ggv/coordination/entry/system_answer.hpp>
+#include <ggv/coordination/observability/metrics.hpp>
 #include <ggv/coordination/operators/status_json.hpp>
 #include <ggv/protocol/codec/change_codec.hpp>
 #include <ggv/protocol/codec/register_codec.hpp>
@@ -34,6 +35,7 @@
 constexpr auto CatchUpPause = std::chrono::milliseconds(20);
 constexpr std::uint64_t MaxRegisterBytes = 64ULL * 1024 * 1024;
 constexpr std::size_t ChunkBytes = 16 * 1024;
+const char *const MetricsType = "text/plain; version=0.0.4";
 const char *const VersionHeader = "Ggv-Version";
 
 HttpAnswer jsonAnswer(std::uint16_t status, const nlohmann::json &body)
@@ -134,11 +136,12 @@
     }
 
 private:
-    static const std::array<RouteEntry, 6> &routes()
+    static const std::array<RouteEntry, 7> &routes()
     {
-        static constexpr std::array<RouteEntry, 6> Routes { {
+        static constexpr std::array<RouteEntry, 7> Routes { {
             { "GET", "/healthz", true, &Implementation::health },
             { "GET", "/readyz", true, &Implementation::ready },
+            { "GET", "/metrics", true, &Implementation::metrics },
             { "GET", "/v1/status", false, &Implementation::status },
             { "GET", "/v1/register", false, &Implementation::showRegister },
             { "POST", "/v1/register", false, &Implementation::change },
@@ -208,6 +211,16 @@
         co_return co_await rendezvous.wait();
     }
 
+    asio::awaitable<void> metrics(ServerExchange &caller, const std::string &)
+    {
+        const ControlReport known = co_await report();
+        const auto view = m_context.view.read();
+        HttpAnswer reply;
+        reply.headers = { { "Content-Type", MetricsType } };
+        reply.body = m_context.metrics->text(view.get(), known, monotonicNow());
+        co_await caller.answer(std::move(reply));
+    }
+
     asio::awaitable<void> status(ServerExchange &caller, const std::string &)
     {
         const auto view = m_context.view.read();
--- a/packages/coordination/ggv/coordination/operators/operator_api.hpp
+++ b/packages/coordination/ggv/coordination/operators/operator_api.hpp
@@ -13,7 +13,7 @@
 /**
  * @brief HTTP towards operators: register, changes, status, health.
  *
- * Health and readiness are open; everything else needs the bearer token of an operator.
+ * Health, readiness and metrics are open; everything else needs the bearer token of an operator.
  */
 class OperatorApi
 {
--- /dev/null
+++ b/packages/coordination/test/observability/metrics_test.cpp
@@ -0,0 +1,222 @@
+#include <ggv/coordination/entry/target_board.hpp>
+#include <ggv/coordination/observability/metrics.hpp>
+
+#include <model/sample_register.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace ggv;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant Start { seconds(100) };
+constexpr Instant LeaseEnd = Start + seconds(10);
+const FailureDomainName Domain("south-a"); // The sample's target is in another region.
+const RequestResult Done { ResultCode::Ok, Verdict::Done };
+
+//! The view of a host on the sample register with a shift cap.
+struct Fixture
+{
+    Metrics metrics { Domain };
+    TargetBoard board { Domain };
+    std::shared_ptr<const EntryView> view;
+
+    Fixture()
+    {
+        auto content = test::sampleContent();
+        content.shiftCaps.push_back(
+            { ServiceName("kits"), RegionName("south"), RegionName("north"), 40 });
+        auto created = Register::create(1, content).value();
+        view = board.buildView(std::make_shared<const Register>(std::move(created)));
+        metrics.attach(*view);
+    }
+
+    const ServiceRoute &route() const { return *view->service("kits"); }
+    ServiceMetrics &kits() const { return *route().state->metrics.load(); }
+    std::string text(Instant now = Start) const { return metrics.text(view.get(), {}, now); }
+};
+
+void assertLine(const std::string &text, const std::string &line)
+{
+    CPPUNIT_ASSERT_MESSAGE(line + " is missing in\n" + text,
+                           ("\n" + text).find("\n" + line + "\n") != std::string::npos);
+}
+
+class MetricsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MetricsTest);
+    CPPUNIT_TEST(requestsAreCountedByResultAndVerdict);
+    CPPUNIT_TEST(addedTimeLeavesOutTheTargets);
+    CPPUNIT_TEST(retriesAndShedsAreCounted);
+    CPPUNIT_TEST(targetsShowTheirSlots);
+    CPPUNIT_TEST(queuesShowTheirLength);
+    CPPUNIT_TEST(demandIsTotalAlsoAfterItWasTaken);
+    CPPUNIT_TEST(reportsAreShown);
+    CPPUNIT_TEST(drainsAreTimed);
+    CPPUNIT_TEST(withoutARegisterThereAreNoTargets);
+    CPPUNIT_TEST(servicesKeepTheirHandle);
+    CPPUNIT_TEST(threadsLoseNoCount);
+    CPPUNIT_TEST(takenDemandsAddUp);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void requestsAreCountedByResultAndVerdict()
+    {
+        const Fixture fixture;
+        fixture.kits().onRequest(Done, milliseconds(3), milliseconds(2));
+        fixture.kits().onRequest(Done, milliseconds(3), milliseconds(2));
+        fixture.kits().onRequest({ ResultCode::TargetConnectionLost, Verdict::Unknown },
+                                 milliseconds(3), milliseconds(2));
+        const std::string text = fixture.text();
+        assertLine(text, R"(ggv_requests_total{result="ok",service="kits",verdict="done"} 2)");
+        assertLine(text,
+                   R"(ggv_requests_total{result="target-connection-lost",service="kits",)"
+                   R"(verdict="unknown"} 1)");
+    }
+
+    void addedTimeLeavesOutTheTargets()
+    {
+        const Fixture fixture;
+        fixture.kits().onRequest(Done, milliseconds(750), milliseconds(500));
+        fixture.kits().onRequest(Done, milliseconds(10), milliseconds(20));
+        const std::string text = fixture.text();
+        assertLine(text, R"(ggv_request_seconds_sum{service="kits"} 0.76)");
+        assertLine(text, R"(ggv_request_seconds_bucket{service="kits",le="0.5"} 1)");
+        assertLine(text, R"(ggv_added_seconds_sum{service="kits"} 0.25)");
+        assertLine(text, R"(ggv_added_seconds_count{service="kits"} 2)");
+    }
+
+    void retriesAndShedsAreCounted()
+    {
+        const Fixture fixture;
+        fixture.kits().onRetry();
+        fixture.kits().onShed();
+        fixture.kits().onShed();
+        assertLine(fixture.text(), R"(ggv_retries_total{service="kits"} 1)");
+        assertLine(fixture.text(), R"(ggv_sheds_total{service="kits"} 2)");
+    }
+
+    void targetsShowTheirSlots()
+    {
+        const Fixture fixture;
+        auto &target = *fixture.route().targets.front().state;
+        target.setLimit(5, LeaseEnd, 0);
+        const auto permit = target.tryAcquire(Start);
+        CPPUNIT_ASSERT(static_cast<bool>(permit));
+        const std::string labels = R"({service="kits",target="kit-1"} )";
+        assertLine(fixture.text(), "ggv_target_in_flight" + labels + "1");
+        assertLine(fixture.text(), "ggv_target_leased_slots" + labels + "5");
+        assertLine(fixture.text(), "ggv_target_headroom" + labels + "4");
+        assertLine(fixture.text(LeaseEnd), "ggv_target_headroom" + labels + "-1");
+    }
+
+    void queuesShowTheirLength()
+    {
+        const Fixture fixture;
+        fixture.route().state->queued = 3;
+        assertLine(fixture.text(), R"(ggv_queue_length{service="kits"} 3)");
+    }
+
+    void demandIsTotalAlsoAfterItWasTaken()
+    {
+        const Fixture fixture;
+        const auto &path = *fixture.route().targets.front().path;
+        path.noteDemand();
+        path.noteDemand();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, path.linkOut->takeDemand());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, path.linkOut->takeDemand());
+        const std::string text = fixture.text();
+        assertLine(text, R"(ggv_link_demand_kilobits_total{link="south>north"} 2)");
+        assertLine(text,
+                   R"(ggv_link_demand_kilobits_total{link="north>south"} )"
+                       + std::to_string(2 * path.typicalKilobits));
+        assertLine(text, R"(ggv_shift_demand_requests_total{shift="kits:south>north"} 2)");
+    }
+
+    void reportsAreShown()
+    {
+        const Fixture fixture;
+        ControlReport report;
+        report.inForce = 12;
+        report.leading = true;
+        report.bytesSent = 345;
+        const std::string text = fixture.metrics.text(nullptr, report, Start);
+        assertLine(text, "ggv_register_version 12");
+        assertLine(text, "ggv_leader 1");
+        assertLine(text, "ggv_peer_sent_bytes_total 345");
+        assertLine(text, "ggv_spans_dropped_total 0");
+    }
+
+    void drainsAreTimed()
+    {
+        Fixture fixture;
+        assertLine(fixture.text(Start), "ggv_drain_seconds 0");
+        fixture.metrics.onDrainBegin(Start);
+        assertLine(fixture.text(Start + seconds(2)), "ggv_drain_seconds 2");
+        fixture.metrics.onDrainEnd(Start + seconds(5));
+        assertLine(fixture.text(Start + seconds(9)), "ggv_drain_seconds 5");
+    }
+
+    void withoutARegisterThereAreNoTargets()
+    {
+        const Fixture fixture;
+        const std::string text = fixture.metrics.text(nullptr, {}, Start);
+        CPPUNIT_ASSERT(text.find("ggv_target_") == std::string::npos);
+        assertLine(text, "ggv_register_version 0");
+    }
+
+    void servicesKeepTheirHandle()
+    {
+        Fixture fixture;
+        CPPUNIT_ASSERT(&fixture.kits() == &fixture.metrics.service(ServiceName("kits")));
+        CPPUNIT_ASSERT(&fixture.kits() != &fixture.metrics.service(ServiceName()));
+    }
+
+    void threadsLoseNoCount()
+    {
+        const Fixture fixture;
+        constexpr int Threads = 4;
+        constexpr int Requests = 500;
+        std::vector<std::thread> threads;
+        threads.reserve(Threads);
+        for (int n = 0; n < Threads; ++n)
+            threads.emplace_back([&fixture] {
+                for (int it = 0; it < Requests; ++it)
+                    fixture.kits().onRequest(Done, milliseconds(1), milliseconds(1));
+            });
+        for (auto &thread : threads)
+            thread.join();
+        assertLine(fixture.text(),
+                   R"(ggv_requests_total{result="ok",service="kits",verdict="done"} 2000)");
+    }
+
+    void takenDemandsAddUp()
+    {
+        CPPUNIT_ASSERT(rc::check("taken and not yet taken demand is the total", [] {
+            RateGate gate;
+            std::uint64_t noted = 0;
+            std::uint64_t taken = 0;
+            const auto steps = *rc::gen::container<std::vector<std::uint8_t>>(
+                rc::gen::arbitrary<std::uint8_t>());
+            for (const auto step : steps) {
+                gate.noteDemand(step);
+                noted += step;
+                if (step % 3 == 0)
+                    taken += gate.takeDemand();
+                RC_ASSERT(gate.demandTotal() == noted);
+            }
+            RC_ASSERT(taken + gate.takeDemand() == noted);
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MetricsTest);
+
+} // namespace
