Add the operators' command line

Operators had no program to check, apply and follow changes of the register.

The subcommands live in a static library below the program, so that tests reach them without a process. Answers to changes are sorted by what an operator may conclude: a lost answer, or one without a majority, is reported as unknown with the id to resend. Sending to the next host with the same id was preferred to giving up at once: the quorum answers a known id with its first outcome.

The client of `explain` is resolved from the client blocks of the register in force, because /v1/explain takes no client.

--- /dev/null
+++ b/packages/greengagevalvectl/ggv/ctl/commands/watch_command.cpp
@@ -0,0 +1,74 @@
+#include <ggv/ctl/command.hpp>
+#include <ggv/ctl/rollout.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <thread>
+
+namespace ggv {
+
+namespace {
+
+constexpr std::uint64_t DefaultTimeoutSeconds = 60;
+constexpr std::uint64_t MaxTimeoutSeconds = 24 * 3600;
+constexpr Duration PollInterval = std::chrono::milliseconds(500);
+
+using Hosts = std::map<std::string, std::string>;
+
+void writeChanges(const CommandContext &context, const Hosts &before, const Hosts &now,
+                  RegisterVersion version)
+{
+    for (const auto &[host, progress] : now) {
+        const auto it = before.find(host);
+        if (it != before.end() && it->second == progress)
+            continue;
+        if (context.json()) {
+            const nlohmann::json line { { "host", host },
+                                        { "version", version },
+                                        { "change", progress } };
+            context.out << line.dump() << std::endl;
+        } else {
+            context.out << host << ": " << progress << std::endl;
+        }
+    }
+}
+
+RegisterVersion acceptedVersion(const ApiClient &client)
+{
+    const auto status = client.fetchJson("/v1/status");
+    return status.value("accepted", RegisterVersion { 0 });
+}
+
+ExitCode follow(const CommandContext &context, const ApiClient &client, RegisterVersion version,
+                Instant deadline)
+{
+    Hosts before;
+    for (;;) {
+        const auto rollout = Rollout::fromStatus(client.fetchJson("/v1/status"), version).value();
+        writeChanges(context, before, rollout.hosts(), version);
+        before = rollout.hosts();
+        if (rollout.complete())
+            return ExitCode::Ok;
+        if (monotonicNow() >= deadline)
+            break;
+        std::this_thread::sleep_for(std::min(PollInterval, deadline - monotonicNow()));
+    }
+    context.err << "version " << version << " is not in force on every reachable host in time\n";
+    return ExitCode::Refused;
+}
+
+} // namespace
+
+ExitCode runWatch(const CommandContext &context)
+{
+    const auto largest = std::numeric_limits<RegisterVersion>::max();
+    const auto stated = context.arguments.number(Option::Version, largest);
+    const auto seconds = context.arguments.number(Option::Timeout, MaxTimeoutSeconds)
+                             .value_or(DefaultTimeoutSeconds);
+    const Instant deadline = monotonicNow() + std::chrono::seconds(seconds);
+    const ApiClient client = context.client();
+    const RegisterVersion version = stated ? *stated : acceptedVersion(client);
+    return follow(context, client, version, deadline);
+}
+
+} // namespace ggv
--- a/packages/greengagevalvectl/main.cpp
+++ b/packages/greengagevalvectl/main.cpp
@@ -1,9 +1,11 @@
 #include <ggv/coordination/version.hpp>
+#include <ggv/ctl/command_line.hpp>
 
 #include <iostream>
 
-int main()
+int main(int argc, char **argv)
 {
-    std::cout << "greengagevalvectl " << ggv::softwareVersion() << "\n";
-    return 0;
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return static_cast<int>(
+        ggv::runCommandLine(words, std::string(ggv::softwareVersion()), std::cout, std::cerr));
 }
--- /dev/null
+++ b/packages/greengagevalvectl/test/api_client_test.cpp
@@ -0,0 +1,185 @@
+#include <ggv/ctl/api_client.hpp>
+
+#include <deque>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace ggv;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+const std::string LostAnswer; // The connection is closed after the request.
+
+//! A host that gives prepared answers, one for each connection, and keeps the first lines asked.
+class PreparedHost
+{
+public:
+    explicit PreparedHost(std::deque<std::string> answers)
+        : m_acceptor(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_answers(std::move(answers))
+        , m_thread([this] { serve(); })
+    { }
+    ~PreparedHost() { m_thread.join(); }
+    PreparedHost(const PreparedHost &) = delete;
+    PreparedHost &operator=(const PreparedHost &) = delete;
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    const std::vector<std::string> &requests() const { return m_requests; }
+
+private:
+    void serve()
+    {
+        for (const auto &answer : m_answers) {
+            tcp::socket socket(m_context);
+            m_acceptor.accept(socket);
+            std::string text;
+            asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n");
+            // Bodies of changes end with this word.
+            const bool hasBody = text.starts_with("POST");
+            if (hasBody && !text.ends_with("\nend"))
+                asio::read_until(socket, asio::dynamic_buffer(text), "\nend");
+            m_requests.push_back(text.substr(0, text.find("\r\n")));
+            asio::write(socket, asio::buffer(answer));
+        }
+    }
+
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::deque<std::string> m_answers;
+    std::vector<std::string> m_requests;
+    std::thread m_thread;
+};
+
+std::string answerOf(const std::string &status, const std::string &body,
+                     const std::string &headers = "")
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"
+        + headers + "\r\n" + body;
+}
+
+//! An address where nobody listens.
+Endpoint closedEndpoint()
+{
+    asio::io_context context;
+    const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+const ChangeRequest Change { ChangeId("one two"), 3, "# text\nend" };
+
+class ApiClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ApiClientTest);
+    CPPUNIT_TEST(fetchesFromTheNextHost);
+    CPPUNIT_TEST(reportsUnreachableHosts);
+    CPPUNIT_TEST(reportsRefusedToken);
+    CPPUNIT_TEST(sendsChange);
+    CPPUNIT_TEST(reportsConflict);
+    CPPUNIT_TEST(resendsLostChangeToTheNextHost);
+    CPPUNIT_TEST(reportsLostChange);
+    CPPUNIT_TEST(reportsChangeWithoutMajority);
+    CPPUNIT_TEST(keepsLostChangeUnknownAfterRefusedToken);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void fetchesFromTheNextHost()
+    {
+        PreparedHost host({ answerOf("200 OK", "# register\n", "Ggv-Version: 7\r\n") });
+        const ApiClient client({ { closedEndpoint(), host.endpoint() }, "secret" });
+        const auto fetched = client.fetchRegister();
+        CPPUNIT_ASSERT_EQUAL(RegisterVersion { 7 }, fetched.version);
+        CPPUNIT_ASSERT_EQUAL(std::string("# register\n"), fetched.text);
+    }
+
+    void reportsUnreachableHosts()
+    {
+        const ApiClient client({ { closedEndpoint() }, "secret" });
+        CPPUNIT_ASSERT(ResultCode::TargetUnreachable
+                       == codeOf([&] { (void)client.fetchRegister(); }));
+        CPPUNIT_ASSERT(ResultCode::TargetUnreachable
+                       == codeOf([&] { (void)client.apply(Change); }));
+    }
+
+    void reportsRefusedToken()
+    {
+        const auto refusal = answerOf("403 Forbidden", "{\"result\":207}");
+        PreparedHost host({ refusal, refusal });
+        const ApiClient client({ { host.endpoint() }, "secret" });
+        CPPUNIT_ASSERT(ResultCode::NotAuthorized == codeOf([&] { (void)client.fetchRegister(); }));
+        CPPUNIT_ASSERT(ResultCode::NotAuthorized == codeOf([&] { (void)client.apply(Change); }));
+    }
+
+    void sendsChange()
+    {
+        PreparedHost host({ answerOf("200 OK", R"({"result":0,"version":4,"message":""})") });
+        const auto outcome = ApiClient({ { host.endpoint() }, "secret" }).apply(Change);
+        CPPUNIT_ASSERT(ResultCode::Ok == outcome.code);
+        CPPUNIT_ASSERT_EQUAL(RegisterVersion { 4 }, outcome.version);
+        const std::string line = "POST /v1/register?change=one%20two&expected=3 HTTP/1.1";
+        CPPUNIT_ASSERT_EQUAL(line, host.requests().at(0));
+    }
+
+    void reportsConflict()
+    {
+        PreparedHost host(
+            { answerOf("409 Conflict", R"({"result":203,"version":9,"message":"newer"})") });
+        const auto outcome = ApiClient({ { host.endpoint() }, "secret" }).apply(Change);
+        CPPUNIT_ASSERT(ResultCode::VersionConflict == outcome.code);
+        CPPUNIT_ASSERT_EQUAL(RegisterVersion { 9 }, outcome.version);
+    }
+
+    void resendsLostChangeToTheNextHost()
+    {
+        PreparedHost first({ LostAnswer });
+        PreparedHost second({ answerOf("200 OK", R"({"result":0,"version":4})") });
+        const ApiClient client({ { first.endpoint(), second.endpoint() }, "secret" });
+        CPPUNIT_ASSERT(ResultCode::Ok == client.apply(Change).code);
+        CPPUNIT_ASSERT(first.requests() == second.requests());
+    }
+
+    void reportsLostChange()
+    {
+        PreparedHost host({ LostAnswer });
+        const ApiClient client({ { host.endpoint(), closedEndpoint() }, "secret" });
+        CPPUNIT_ASSERT(ResultCode::ChangeOutcomeUnknown == client.apply(Change).code);
+    }
+
+    void reportsChangeWithoutMajority()
+    {
+        PreparedHost host({ answerOf("503 Service Unavailable", R"({"result":206})") });
+        const ApiClient client({ { host.endpoint() }, "secret" });
+        CPPUNIT_ASSERT(ResultCode::ChangeOutcomeUnknown == client.apply(Change).code);
+    }
+
+    void keepsLostChangeUnknownAfterRefusedToken()
+    {
+        PreparedHost first({ LostAnswer });
+        PreparedHost second({ answerOf("403 Forbidden", R"({"result":207})") });
+        const ApiClient client({ { first.endpoint(), second.endpoint() }, "secret" });
+        CPPUNIT_ASSERT(ResultCode::ChangeOutcomeUnknown == client.apply(Change).code);
+    }
+
+private:
+    template <typename Function>
+    static ResultCode codeOf(Function function)
+    {
+        try {
+            function();
+        } catch (const Error &error) {
+            return error.code();
+        }
+        return ResultCode::Ok;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ApiClientTest);
+
+} // namespace
