--- a/packages/greengagevalvectl/ggv/ctl/command_table.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/command_table.cpp
@@ -4,7 +4,7 @@
 
 const std::vector<CommandEntry> &commandTable()
 {
-    static const std::vector<CommandEntry> Table {
+    static const std::vector<CommandEntry> table {
         { "check", { "FILE" }, {}, "Report every fault of a register file, offline", runCheck },
         { "show", {}, {}, "Write the register in force", runShow },
         { "diff", { "FILE" }, {}, "Write what applying a register file would change", runDiff },
@@ -31,7 +31,7 @@
           runExplain },
         { "status", {}, {}, "Write the status of a host", runStatus },
     };
-    return Table;
+    return table;
 }
 
 } // namespace ggv
--- a/packages/greengagevalvectl/ggv/ctl/http_call.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/http_call.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr std::size_t ChunkBytes = 16 * 1024;
-constexpr std::size_t MaxAnswerBytes = 128 * 1024 * 1024;
+constexpr std::size_t ChunkBytes = 16UL * 1024;
+constexpr std::size_t MaxAnswerBytes = 128UL * 1024 * 1024;
 constexpr Duration IdleTimeout = std::chrono::seconds(1);
 
 void append(std::string &body, std::span<const std::uint8_t> bytes)
--- a/packages/greengagevalvectl/ggv/ctl/instant_text.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/instant_text.cpp
@@ -37,10 +37,10 @@
 
 std::optional<UnixMillis> parseInstant(const std::string &text)
 {
-    static const std::regex Form(
+    static const std::regex form(
         R"((\d{4})-(\d\d)-(\d\d)T(\d\d):(\d\d):(\d\d)(?:Z|([+-])(\d\d):(\d\d)))");
     std::smatch match;
-    if (!std::regex_match(text, match, Form))
+    if (!std::regex_match(text, match, form))
         return std::nullopt;
     const chrono::year_month_day date {
         chrono::year(numberOf(match, Year)),
--- a/packages/greengagevalvectl/ggv/ctl/option.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/option.cpp
@@ -6,7 +6,7 @@
 
 const std::vector<OptionEntry> &optionTable()
 {
-    static const std::vector<OptionEntry> Table {
+    static const std::vector<OptionEntry> table {
         { Option::Host, "host", "ADDR:PORT,...", "Operators' addresses of hosts, tried in turn" },
         { Option::Token, "token", "TOKEN", "Token of the operator" },
         { Option::TokenFile, "token-file", "FILE", "File with the token" },
@@ -20,14 +20,14 @@
         { Option::Over, "over", "SECONDS", "Time in which work falls to nothing; 0 if not given" },
         { Option::Client, "client", "IP", "Also show the failure domain nearest to this client" },
     };
-    return Table;
+    return table;
 }
 
 const std::vector<Option> &globalOptions()
 {
-    static const std::vector<Option> Global { Option::Host, Option::Token, Option::TokenFile,
+    static const std::vector<Option> global { Option::Host, Option::Token, Option::TokenFile,
                                               Option::Json, Option::Help };
-    return Global;
+    return global;
 }
 
 const OptionEntry &optionEntry(Option option)
