Keep watching while a host restarts

A host that restarted while a change was followed ended the watch. Only silence at the deadline is an error now; a refused token still ends it at once.

--- a/packages/greengagevalvectl/ggv/ctl/commands/watch_command.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/commands/watch_command.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <thread>
 
 namespace ggv {
@@ -39,19 +40,34 @@
     return status.value("accepted", RegisterVersion { 0 });
 }
 
+// A host may restart while a change is followed, so silence is an error only at the deadline.
+std::optional<Rollout> askOnce(const ApiClient &client, RegisterVersion version, Instant deadline)
+{
+    try {
+        return Rollout::fromStatus(client.fetchJson("/v1/status"), version).value();
+    } catch (const Error &error) {
+        if (error.code() != ResultCode::TargetUnreachable || monotonicNow() >= deadline)
+            throw;
+        return std::nullopt;
+    }
+}
+
 ExitCode follow(const CommandContext &context, const ApiClient &client, RegisterVersion version,
                 Instant deadline)
 {
     Hosts before;
     for (;;) {
-        const auto rollout = Rollout::fromStatus(client.fetchJson("/v1/status"), version).value();
-        writeChanges(context, before, rollout.hosts(), version);
-        before = rollout.hosts();
-        if (rollout.complete())
-            return ExitCode::Ok;
-        if (monotonicNow() >= deadline)
+        const auto rollout = askOnce(client, version, deadline);
+        if (rollout) {
+            writeChanges(context, before, rollout->hosts(), version);
+            before = rollout->hosts();
+            if (rollout->complete())
+                return ExitCode::Ok;
+        }
+        const Instant now = monotonicNow();
+        if (rollout && now >= deadline)
             break;
-        std::this_thread::sleep_for(std::min(PollInterval, deadline - monotonicNow()));
+        std::this_thread::sleep_for(std::clamp(deadline - now, Duration(0), PollInterval));
     }
     context.err << "version " << version << " is not in force on every reachable host in time\n";
     return ExitCode::Refused;
