--- a/packages/greengagevalvectl/ggv/ctl/api_client.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/api_client.cpp
@@ -67,9 +67,11 @@
              body.value("message", std::string()), faultsOf(body) };
 }
 
-std::string hostFailure(const Endpoint &host, const Error &error)
+void addFailure(std::string &failures, const Endpoint &host, const std::string &message)
 {
-    return formatEndpoint(host) + ": " + error.what();
+    if (!failures.empty())
+        failures += "; ";
+    failures += formatEndpoint(host) + ": " + message;
 }
 
 } // namespace
@@ -108,7 +110,7 @@
             if (last->status < StatusServerFault)
                 return *last;
         } catch (const Error &error) {
-            failures += (failures.empty() ? "" : "; ") + hostFailure(host, error);
+            addFailure(failures, host, error.what());
         }
     }
     if (!last)
@@ -159,12 +161,12 @@
             if (answer.status < StatusServerFault && !refusesToken(answer))
                 return outcomeOf(answer);
             mayHaveRun = true;
-            failures += formatEndpoint(host) + ": status " + std::to_string(answer.status) + "; ";
+            addFailure(failures, host, "status " + std::to_string(answer.status));
         } catch (const Error &error) {
             if (error.code() == ResultCode::NotAuthorized)
                 throw;
             mayHaveRun = mayHaveRun || error.code() != ResultCode::TargetUnreachable;
-            failures += hostFailure(host, error) + "; ";
+            addFailure(failures, host, error.what());
         }
     }
     if (!mayHaveRun)
