--- a/packages/greengagevalvectl/ggv/ctl/commands/watch_command.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/commands/watch_command.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint64_t DefaultTimeoutSeconds = 60;
-constexpr std::uint64_t MaxTimeoutSeconds = 24 * 3600;
+constexpr std::uint64_t MaxTimeoutSeconds = 24ULL * 3600;
 constexpr Duration PollInterval = std::chrono::milliseconds(500);
 
 using Hosts = std::map<std::string, std::string>;
