Prove the transport with real sockets and mend five faults

The transport had no tests.

- 'Content-Length: 3, 3' was answered with 200: the parser accepts equal list values, our head had no length and said that no body follows.
Such a request is refused now.
- A refusal after a HEAD request announced 27 bytes and sent none, since it was written with the head of the request before.
The head is reset.
- An answer with fewer bytes than its Content-Length ended neatly and the connection could be used again.
It is cut now.
- A request with fewer bytes than its Content-Length left its connection in the pool, where the next request would become its body.
It is not kept.
- A deadline that passed between two steps of a composed operation cancelled nothing, and the next step waited without limit.
The cancel is repeated until the operation has ended.

Ruled out: pipelined requests run after a refused one, or an unread body is taken for a request; neither was seen.

--- /dev/null
+++ b/packages/coordination/test/peer/peer_network_test.cpp
@@ -0,0 +1,206 @@
+#include <ggv/coordination/peer/peer_network.hpp>
+#include <ggv/protocol/codec/codec.hpp>
+#include <ggv/protocol/codec/peer_codec.hpp>
+#include <ggv/transport/net/shared_secret.hpp>
+
+#include <map>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace ggv;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const HostName Here { "here" };
+const HostName There { "there" };
+const HostName Stranger { "stranger" };
+
+std::uint16_t freePort(asio::io_context &context)
+{
+    const asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+//! A host and what its network reported.
+struct Host
+{
+    PeerNetwork network;
+    std::vector<HostName> connected;
+    std::vector<PeerMessage> messages;
+    int refused = 0;
+
+    Host(asio::io_context &context, const HostName &name, const std::string &secret,
+         const std::map<HostName, Endpoint> &addresses)
+        : network(context, { name, 7, 0, secret }, FrameOptions {}, handlers(addresses))
+    { }
+
+    PeerHandlers handlers(const std::map<HostName, Endpoint> &addresses)
+    {
+        PeerHandlers handlers;
+        handlers.addressOf = [addresses](const HostName &host) -> std::optional<Endpoint> {
+            const auto it = addresses.find(host);
+            return it == addresses.end() ? std::nullopt : std::optional(it->second);
+        };
+        handlers.onMessage = [this](const HostName &, PeerMessage message) {
+            messages.push_back(std::move(message));
+        };
+        handlers.onConnected = [this](const Hello &hello) { connected.push_back(hello.host); };
+        handlers.onDisconnected = [](const HostName &) {};
+        handlers.onRefused = [this](const HostName &, Instant) { ++refused; };
+        return handlers;
+    }
+};
+
+//! A peer that sends whatever it likes.
+struct LoosePeer
+{
+    std::shared_ptr<FrameConnection> connection;
+    std::vector<PeerMessage> received;
+    bool closed = false;
+
+    ~LoosePeer()
+    {
+        if (connection)
+            connection->close();
+    }
+
+    void start(std::shared_ptr<FrameConnection> opened)
+    {
+        connection = std::move(opened);
+        connection->start([this](ByteView bytes) { received.push_back(decodePeerMessage(bytes)); },
+                          [this](const Error &) { closed = true; });
+    }
+
+    void send(const PeerMessage &message) const { connection->send(encodePeerMessage(message)); }
+};
+
+class PeerNetworkTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerNetworkTest);
+    CPPUNIT_TEST(hostsWithTheSecretExchangeMessages);
+    CPPUNIT_TEST(rightProofIsAccepted);
+    CPPUNIT_TEST(wrongSecretIsRefused);
+    CPPUNIT_TEST(hostOutsideTheRegisterIsRefused);
+    CPPUNIT_TEST(ownNameIsRefused);
+    CPPUNIT_TEST(faultyOpeningsAreRefused);
+    CPPUNIT_TEST(stoppedProcessIsReported);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void hostsWithTheSecretExchangeMessages()
+    {
+        Host peer(m_context, There, "secret", m_addresses);
+        peer.network.connect(Here);
+        runUntil([&] { return m_host.network.connected(There) && peer.network.connected(Here); });
+        const PeerMessage message = ConfigurationRequest { 5 };
+        m_host.network.send(There, message);
+        runUntil([&] { return !peer.messages.empty(); });
+        CPPUNIT_ASSERT(peer.messages.front() == message);
+    }
+
+    void rightProofIsAccepted()
+    {
+        LoosePeer peer;
+        prove(peer, There, "secret");
+        runUntil([&] { return !m_host.messages.empty(); });
+        CPPUNIT_ASSERT(m_host.connected == std::vector { There });
+    }
+
+    void wrongSecretIsRefused() { expectRefused(There, "other"); }
+    void hostOutsideTheRegisterIsRefused() { expectRefused(Stranger, "secret"); }
+    void ownNameIsRefused() { expectRefused(Here, "secret"); }
+
+    void faultyOpeningsAreRefused()
+    {
+        const Hello hello { WireVersion, There, 1, 0, Bytes(16, 1) };
+        const Hello otherWire { WireVersion + 1, There, 1, 0, Bytes(16, 1) };
+        const HelloProof noProof { Bytes(32, 0) };
+        const HelloProof emptyProof { Bytes {} };
+        const ConfigurationRequest early { 5 };
+        const std::vector<std::vector<PeerMessage>> openings {
+            { early },          { hello, early },      { noProof },
+            { hello, noProof }, { hello, emptyProof }, { otherWire },
+        };
+        for (const auto &messages : openings) {
+            LoosePeer peer;
+            open(peer);
+            for (const auto &message : messages)
+                peer.send(message);
+            runUntil([&] { return peer.closed; });
+        }
+        expectNothingAccepted();
+    }
+
+    void stoppedProcessIsReported()
+    {
+        m_host.network.connect(There);
+        runUntil([&] { return m_host.refused > 0; });
+        expectNothingAccepted();
+    }
+
+private:
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            m_context.restart();
+            m_context.run_one_for(milliseconds(5));
+        }
+        CPPUNIT_ASSERT(condition());
+    }
+
+    void open(LoosePeer &peer)
+    {
+        connectFrames(
+            m_context, m_addresses.at(Here), FrameOptions {},
+            [&peer](auto connection) { peer.start(std::move(connection)); },
+            [](ConnectFailure) { CPPUNIT_FAIL("not connected"); });
+        runUntil([&] { return peer.connection != nullptr; });
+    }
+
+    // Opens as a host that proves a secret over the nonce it was sent.
+    void prove(LoosePeer &peer, const HostName &name, const std::string &secret)
+    {
+        open(peer);
+        runUntil([&] { return !peer.received.empty(); });
+        const auto nonce = std::get<Hello>(peer.received.front()).nonce;
+        std::string text(nonce.begin(), nonce.end());
+        text += name.text() + "/1/0";
+        peer.send(Hello { WireVersion, name, 1, 0, Bytes(16, 1) });
+        peer.send(HelloProof { proveSecret(secret, text) });
+        peer.send(ConfigurationRequest { 5 });
+    }
+
+    void expectRefused(const HostName &name, const std::string &secret)
+    {
+        LoosePeer peer;
+        prove(peer, name, secret);
+        runUntil([&] { return peer.closed; });
+        expectNothingAccepted();
+    }
+
+    void expectNothingAccepted()
+    {
+        CPPUNIT_ASSERT(m_host.connected.empty());
+        CPPUNIT_ASSERT(m_host.messages.empty());
+        CPPUNIT_ASSERT(m_host.network.connectedHosts().empty());
+    }
+
+    asio::io_context m_context;
+    std::map<HostName, Endpoint> m_addresses { { Here, { "127.0.0.1", freePort(m_context) } },
+                                               { There, { "127.0.0.1", freePort(m_context) } } };
+    Host m_host { m_context, Here, "secret", m_addresses };
+
+public:
+    void setUp() override { m_host.network.listen(m_addresses.at(Here)); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerNetworkTest);
+
+} // namespace
--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -56,6 +56,8 @@
         return "both Content-Length and Transfer-Encoding";
     if (message.count(http::field::content_length) > 1)
         return "more than one Content-Length";
+    if (message.count(http::field::content_length) == 1 && !contentLengthOf(message))
+        return "Content-Length is not one number";
     if (message.count(http::field::transfer_encoding) > 1
         || (message.count(http::field::transfer_encoding) == 1
             && !beast::iequals(message[http::field::transfer_encoding], "chunked")))
--- a/packages/transport/ggv/transport/http/detail/operation_timer.cpp
+++ b/packages/transport/ggv/transport/http/detail/operation_timer.cpp
@@ -2,27 +2,28 @@
 
 namespace ggv::detail {
 
+namespace {
+
+constexpr auto RepeatPause = std::chrono::milliseconds(5);
+
+} // namespace
+
 OperationTimer::OperationTimer(boost::asio::ip::tcp::socket &socket)
-    : m_timer(socket.get_executor())
-    , m_shared(std::make_shared<Shared>())
+    : m_shared(std::make_shared<Shared>(socket))
+{ }
+
+OperationTimer::~OperationTimer()
 {
-    m_shared->socket = &socket;
+    m_shared->socket = nullptr;
+    m_shared->timer.cancel();
 }
 
-OperationTimer::~OperationTimer() { m_shared->socket = nullptr; }
-
 void OperationTimer::arm(Instant deadline)
 {
-    const auto generation = ++m_shared->generation;
+    ++m_shared->generation;
     m_shared->expired = false;
-    m_timer.expires_at(std::chrono::steady_clock::time_point(deadline.time_since_epoch()));
-    m_timer.async_wait([shared = m_shared, generation](boost::system::error_code ec) {
-        if (ec || shared->socket == nullptr || shared->generation != generation)
-            return;
-        shared->expired = true;
-        boost::system::error_code ignored;
-        shared->socket->cancel(ignored);
-    });
+    m_shared->timer.expires_at(std::chrono::steady_clock::time_point(deadline.time_since_epoch()));
+    wait(m_shared);
 }
 
 bool OperationTimer::disarm()
@@ -31,4 +32,18 @@
     return std::exchange(m_shared->expired, false);
 }
 
+void OperationTimer::wait(const std::shared_ptr<Shared> &shared)
+{
+    const auto generation = shared->generation;
+    shared->timer.async_wait([shared, generation](boost::system::error_code ec) {
+        if (ec || shared->socket == nullptr || shared->generation != generation)
+            return;
+        shared->expired = true;
+        boost::system::error_code ignored;
+        shared->socket->cancel(ignored);
+        shared->timer.expires_after(RepeatPause);
+        wait(shared);
+    });
+}
+
 } // namespace ggv::detail
--- a/packages/transport/ggv/transport/http/detail/operation_timer.hpp
+++ b/packages/transport/ggv/transport/http/detail/operation_timer.hpp
@@ -13,7 +13,8 @@
 /**
  * @brief Cancels the pending operations of a socket at a deadline, without closing it.
  *
- * Belongs to the loop of its socket.
+ * Repeats the cancel until disarm(): a composed operation may start its next step after the first
+ * one. Belongs to the loop of its socket.
  */
 class OperationTimer
 {
@@ -32,12 +33,19 @@
 private:
     struct Shared
     {
-        boost::asio::ip::tcp::socket *socket = nullptr;
+        explicit Shared(boost::asio::ip::tcp::socket &owner)
+            : socket(&owner)
+            , timer(owner.get_executor())
+        { }
+
+        boost::asio::ip::tcp::socket *socket;
+        boost::asio::steady_timer timer;
         std::uint64_t generation = 0;
         bool expired = false;
     };
 
-    boost::asio::steady_timer m_timer;
+    static void wait(const std::shared_ptr<Shared> &shared);
+
     std::shared_ptr<Shared> m_shared;
 };
 
--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -143,6 +143,8 @@
         auto &message = m_answer.emplace().message;
         fillHead(message, head.status, head.headers);
         m_headOnly = head.noBody || isHead();
+        m_bodyLength = head.contentLength;
+        m_bodyWritten = 0;
         setBodyLength(message, head);
         message.keep_alive(decideKeepAlive() && (m_headOnly || head.contentLength || !isHttp10()));
         m_keepAlive = message.keep_alive();
@@ -163,12 +165,14 @@
         body.data = const_cast<std::uint8_t *>(bytes.data()); // NOLINT: the serializer only reads.
         body.size = bytes.size();
         body.more = true;
+        m_bodyWritten += bytes.size();
         co_await writeStreamed();
     }
 
     asio::awaitable<void> finishAnswer() override
     {
         if (!m_headOnly) {
+            checkBodyWritten();
             auto &body = m_answer->message.body();
             body.data = nullptr;
             body.size = 0;
@@ -235,6 +239,15 @@
         });
     }
 
+    // A body of another length would make the next answer a part of this one.
+    void checkBodyWritten()
+    {
+        if (!m_bodyLength || m_bodyWritten == *m_bodyLength)
+            return;
+        abort();
+        throw Error(ResultCode::Internal, "body of the answer differs from its Content-Length");
+    }
+
     void finishExchange()
     {
         if (m_watch) {
@@ -287,6 +300,7 @@
     // Reads the next request's head; false if the connection is over.
     asio::awaitable<bool> readHead()
     {
+        m_head = {};
         m_parser.emplace();
         m_parser->header_limit(m_shared->limits.maxHeaderBytes);
         m_parser->body_limit(m_shared->limits.maxBodyBytes);
@@ -395,6 +409,8 @@
     std::optional<StreamedAnswer> m_answer;
     HttpRequestHead m_head;
     std::shared_ptr<std::function<void()>> m_watch;
+    std::optional<std::uint64_t> m_bodyLength;
+    std::uint64_t m_bodyWritten = 0;
     bool m_overloaded = false;
     bool m_keepAlive = false;
     bool m_expectsContinue = false;
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -71,6 +71,8 @@
         else if (head.chunked)
             message.chunked(true);
         message.body().more = head.hasBody();
+        m_bodyLength = head.contentLength;
+        m_bodySent = 0;
         m_toHead = head.method == "HEAD";
         m_requestStarted = true;
         m_request->serializer.split(true);
@@ -88,6 +90,7 @@
         body.data = const_cast<std::uint8_t *>(bytes.data()); // NOLINT: the serializer only reads.
         body.size = bytes.size();
         body.more = true;
+        m_bodySent += bytes.size();
         co_await writeBody(deadline);
     }
 
@@ -100,7 +103,8 @@
         body.size = 0;
         body.more = false;
         co_await writeBody(deadline);
-        m_requestFinished = true;
+        // The peer would take the next request for the rest of a body of another length.
+        m_requestFinished = !m_bodyLength || m_bodySent == *m_bodyLength;
     }
 
     asio::awaitable<HttpAnswerHead> readHead(Instant deadline) override
@@ -213,6 +217,8 @@
     beast::flat_buffer m_buffer;
     std::optional<OutgoingRequest> m_request;
     std::optional<AnswerParser> m_parser;
+    std::optional<std::uint64_t> m_bodyLength;
+    std::uint64_t m_bodySent = 0;
     std::uint32_t m_uses = 0;
     bool m_toHead = false;
     bool m_requestStarted = false;
