Cover an answer whose body is late and unread

Without the check that the answer was read to its end, the earlier cases of unreadAnswerEndsTheConnection stayed green: the bytes left in the buffer ended the connection. A body that has not come yet shows the check alone.

--- a/packages/transport/test/http/http_client_test.cpp
+++ b/packages/transport/test/http/http_client_test.cpp
@@ -143,11 +143,14 @@
         nothing.readAnswer = false;
         Call headOnly;
         headOnly.readBody = false;
+        const std::string bodyIsLate = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
         for (const auto &way : { nothing, headOnly }) {
-            auto pending = call(way);
-            auto peer = accept(WholeAnswer);
-            CPPUNIT_ASSERT(!finish(pending).fault);
-            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
+            for (const auto &answer : { WholeAnswer, bodyIsLate }) {
+                auto pending = call(way);
+                auto peer = accept(answer);
+                CPPUNIT_ASSERT(!finish(pending).fault);
+                CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
+            }
         }
     }
 
