--- a/packages/transport/ggv/transport/net/frame_connection.hpp
+++ b/packages/transport/ggv/transport/net/frame_connection.hpp
@@ -21,7 +21,8 @@
     Duration silenceTimeout
         = std::chrono::milliseconds(2000); //!< Closed if nothing arrives for this long.
     Duration connectTimeout = std::chrono::milliseconds(1000);
-    std::size_t maxQueuedBytes = 128U * 1024 * 1024; //!< Closed if the peer reads too slowly.
+    std::size_t maxQueuedBytes
+        = std::size_t { 128 } * 1024 * 1024; //!< Closed if the peer reads too slowly.
 };
 
 /**
--- a/packages/transport/test/net/frame_connection_test.cpp
+++ b/packages/transport/test/net/frame_connection_test.cpp
@@ -23,7 +23,7 @@
     options.keepAliveInterval = milliseconds(40);
     options.silenceTimeout = milliseconds(400);
     options.connectTimeout = milliseconds(200);
-    options.maxQueuedBytes = 1024 * 1024;
+    options.maxQueuedBytes = std::size_t { 1024 } * 1024;
     return options;
 }
 
@@ -128,7 +128,7 @@
     void slowReaderIsBounded()
     {
         auto peer = openRaw();
-        const Bytes frame(64 * 1024, 1);
+        const Bytes frame(65'536, 1);
         const auto limit = quickOptions().maxQueuedBytes;
         std::size_t sent = 0;
         while (!m_accepted.closed && sent < 64 * limit) {
