--- a/packages/transport/test/http/http_client_test.cpp
+++ b/packages/transport/test/http/http_client_test.cpp
@@ -5,6 +5,8 @@
 #include <array>
 #include <optional>
 
+#include <poll.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -344,7 +346,12 @@
         return **pending;
     }
 
-    RawSocket acceptOne() { return RawSocket(m_acceptor.accept()); }
+    RawSocket acceptOne()
+    {
+        pollfd waiting { m_acceptor.native_handle(), POLLIN, 0 };
+        CPPUNIT_ASSERT(::poll(&waiting, 1, WaitSeconds * 1000) > 0);
+        return RawSocket(m_acceptor.accept());
+    }
 
     // Runs the loop until the request has come.
     void awaitRequest(RawSocket &peer)
