Answer refused requests in time and ask for demand without links

Cause: a plan that is refused had no time left, so an unknown service was answered as a request that timed out; regions without a link left a rate gate without state, and the next demand ended the process.

--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -19,9 +19,9 @@
 
 namespace {
 
-constexpr std::size_t ReplayBytes = 64 * 1024; //!< Of an idempotent request's body, for retries.
-constexpr std::size_t MaxKeptBytes = 1024 * 1024; //!< Of a kept answer's body.
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ReplayBytes = 64UL * 1024; //!< Of an idempotent request's body, for retries.
+constexpr std::size_t MaxKeptBytes = 1024UL * 1024; //!< Of a kept answer's body.
+constexpr std::size_t ChunkBytes = 16UL * 1024;
 constexpr std::uint64_t BitsPerByte = 8;
 constexpr std::uint64_t BitsPerKilobit = 1000;
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
--- a/packages/coordination/ggv/coordination/entry/request_plan.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_plan.cpp
@@ -66,7 +66,6 @@
 
 void planDeadline(RequestPlan &plan, const HttpRequestHead &head)
 {
-    plan.timeLeft = plan.route->service->defaultDeadline;
     const auto *text = findHeader(head.headers, TimeoutHeader);
     if (text == nullptr)
         return;
@@ -94,6 +93,7 @@
         refuse(plan, ResultCode::NoSuchService, "no service is named '" + name + "'");
         return plan;
     }
+    plan.timeLeft = plan.route->service->defaultDeadline;
     if (isNonIdempotent(*plan.route->service, head))
         plan.kind = RequestKind::NonIdempotent;
     planKey(plan, head);
--- a/packages/coordination/ggv/coordination/entry/target_board.cpp
+++ b/packages/coordination/ggv/coordination/entry/target_board.cpp
@@ -235,7 +235,8 @@
             const bool capped = m_content->shiftCap(service.name, *own, region.name) != nullptr;
             const auto &key = capped ? shiftRateKey(service.name, *own, region.name)
                                      : linkRateKey(*own, region.name);
-            limit += m_gates[key].usable * seconds;
+            const auto gate = m_gates.find(key);
+            limit += gate == m_gates.end() ? 0.0 : gate->second.usable * seconds;
         }
         return limit;
     }
--- a/packages/coordination/ggv/coordination/operators/operator_api.cpp
+++ b/packages/coordination/ggv/coordination/operators/operator_api.cpp
@@ -34,7 +34,7 @@
 constexpr Duration CatchUpTime = std::chrono::seconds(2);
 constexpr auto CatchUpPause = std::chrono::milliseconds(20);
 constexpr std::uint64_t MaxRegisterBytes = 64ULL * 1024 * 1024;
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ChunkBytes = 16UL * 1024;
 const char *const MetricsType = "text/plain; version=0.0.4";
 const char *const VersionHeader = "Ggv-Version";
 
--- a/packages/coordination/test/programs/caller.cpp
+++ b/packages/coordination/test/programs/caller.cpp
@@ -33,7 +33,7 @@
 namespace {
 
 constexpr Duration StepTimeout = std::chrono::seconds(5);
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ChunkBytes = 16UL * 1024;
 
 //! What the command line asks for.
 struct Arguments
--- a/packages/coordination/test/programs/standin_target.cpp
+++ b/packages/coordination/test/programs/standin_target.cpp
@@ -27,7 +27,7 @@
 
 namespace {
 
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ChunkBytes = 16UL * 1024;
 
 //! One target of the register.
 struct StandinTarget
