--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -154,7 +154,7 @@
         actions = co_await claim();
     while (actions.chooseTarget)
         actions = co_await attempt();
-    co_await conclude(std::move(actions));
+    co_await conclude(actions);
 }
 
 asio::awaitable<RequestActions> RequestDriver::receive()
--- a/packages/coordination/ggv/coordination/quorum/proposer.cpp
+++ b/packages/coordination/ggv/coordination/quorum/proposer.cpp
@@ -37,7 +37,7 @@
     const auto known = m_leaders.find(pending.group);
     if (known != m_leaders.end())
         return known->second;
-    const HostName local = m_quorums.leaderOf(pending.group);
+    HostName local = m_quorums.leaderOf(pending.group);
     if (!local.empty() && pending.attempts == 0)
         return local;
     return pending.voters.empty() ? HostName()
@@ -105,7 +105,7 @@
     pending.sentAt = monotonicNow() - ResendAfter + PauseAfterRefusal;
 }
 
-void Proposer::finish(std::uint64_t call, ProposalOutcome outcome)
+void Proposer::finish(std::uint64_t call, const ProposalOutcome &outcome)
 {
     const auto it = m_pending.find(call);
     auto onDone = std::move(it->second.onDone);
--- a/packages/coordination/ggv/coordination/quorum/proposer.hpp
+++ b/packages/coordination/ggv/coordination/quorum/proposer.hpp
@@ -67,7 +67,7 @@
     };
 
     void attempt(std::uint64_t call, Pending &pending);
-    void finish(std::uint64_t call, ProposalOutcome outcome);
+    void finish(std::uint64_t call, const ProposalOutcome &outcome);
     void answered(std::uint64_t call, ResultCode code, const HostName &leader, Bytes answer);
     [[nodiscard]] HostName nextHost(const Pending &pending);
 
--- a/packages/protocol/ggv/protocol/codec/configuration_state_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/configuration_state_codec.cpp
@@ -9,14 +9,14 @@
 template <>
 struct Fields<AnsweredChange>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&AnsweredChange::id, &AnsweredChange::digest, &AnsweredChange::answer);
 };
 
 template <>
 struct Fields<ConfigurationState>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&ConfigurationState::content, &ConfigurationState::answered);
 };
 
--- a/packages/protocol/ggv/protocol/codec/detail/change_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/change_fields.hpp
@@ -8,7 +8,7 @@
 template <>
 struct Fields<ChangeCommand>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&ChangeCommand::id, &ChangeCommand::operatorName, &ChangeCommand::expected,
                      &ChangeCommand::digest, &ChangeCommand::delta);
 };
@@ -16,7 +16,7 @@
 template <>
 struct Fields<ChangeAnswer>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&ChangeAnswer::code, &ChangeAnswer::version, &ChangeAnswer::message);
 };
 
--- a/packages/protocol/ggv/protocol/codec/detail/pack.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/pack.hpp
@@ -23,7 +23,7 @@
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
-//! Table of a record's members in wire order; specialised as `static constexpr auto list`.
+//! Table of a record's members in wire order; specialised as `static constexpr auto List`.
 template <typename Type>
 struct Fields;
 
@@ -31,7 +31,7 @@
 template <typename Type>
 concept Record = requires
 {
-    Fields<Type>::list;
+    Fields<Type>::List;
 };
 
 [[noreturn]] inline void throwMalformed(const char *expected)
@@ -88,7 +88,7 @@
             packer.pack_array(sizeof...(members));
             (pack(packer, record.*members), ...);
         },
-        Fields<Type>::list);
+        Fields<Type>::List);
 }
 
 template <typename Value>
@@ -214,7 +214,7 @@
             std::size_t n = 0;
             (unpack(array.ptr[n++], record.*members), ...);
         },
-        Fields<Type>::list);
+        Fields<Type>::List);
 }
 
 template <typename Value>
--- a/packages/protocol/ggv/protocol/codec/detail/register_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/register_fields.hpp
@@ -9,25 +9,25 @@
 template <>
 struct Fields<Endpoint>
 {
-    static constexpr auto list = std::tuple(&Endpoint::address, &Endpoint::port);
+    static constexpr auto List = std::tuple(&Endpoint::address, &Endpoint::port);
 };
 
 template <>
 struct Fields<Region>
 {
-    static constexpr auto list = std::tuple(&Region::name);
+    static constexpr auto List = std::tuple(&Region::name);
 };
 
 template <>
 struct Fields<FailureDomain>
 {
-    static constexpr auto list = std::tuple(&FailureDomain::name, &FailureDomain::region);
+    static constexpr auto List = std::tuple(&FailureDomain::name, &FailureDomain::region);
 };
 
 template <>
 struct Fields<EntryHost>
 {
-    static constexpr auto list = std::tuple(
+    static constexpr auto List = std::tuple(
         &EntryHost::name, &EntryHost::domain, &EntryHost::callers, &EntryHost::operators,
         &EntryHost::internal, &EntryHost::hasDisk, &EntryHost::incarnation, &EntryHost::leaving);
 };
@@ -35,14 +35,14 @@
 template <>
 struct Fields<NonIdempotentRoute>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&NonIdempotentRoute::method, &NonIdempotentRoute::pathPrefix);
 };
 
 template <>
 struct Fields<Service>
 {
-    static constexpr auto list = std::tuple(
+    static constexpr auto List = std::tuple(
         &Service::name, &Service::nonIdempotent, &Service::claimGroup, &Service::defaultDeadline,
         &Service::maxBodyBytes, &Service::typicalExchangeBytes, &Service::probePath);
 };
@@ -50,7 +50,7 @@
 template <>
 struct Fields<Target>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&Target::name, &Target::service, &Target::domain, &Target::endpoint,
                      &Target::slots, &Target::connections, &Target::leaving);
 };
@@ -58,40 +58,40 @@
 template <>
 struct Fields<Link>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&Link::first, &Link::second, &Link::megabitsPerSecond, &Link::oneWayDelay);
 };
 
 template <>
 struct Fields<ClientBlock>
 {
-    static constexpr auto list = std::tuple(&ClientBlock::prefix, &ClientBlock::nearest);
+    static constexpr auto List = std::tuple(&ClientBlock::prefix, &ClientBlock::nearest);
 };
 
 template <>
 struct Fields<ShiftCap>
 {
-    static constexpr auto list = std::tuple(&ShiftCap::service, &ShiftCap::from, &ShiftCap::to,
+    static constexpr auto List = std::tuple(&ShiftCap::service, &ShiftCap::from, &ShiftCap::to,
                                             &ShiftCap::requestsPerSecond);
 };
 
 template <>
 struct Fields<Drain>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&Drain::scope, &Drain::name, &Drain::startsAt, &Drain::emptyAt);
 };
 
 template <>
 struct Fields<ClaimGroup>
 {
-    static constexpr auto list = std::tuple(&ClaimGroup::name, &ClaimGroup::voters);
+    static constexpr auto List = std::tuple(&ClaimGroup::name, &ClaimGroup::voters);
 };
 
 template <>
 struct Fields<RegisterContent>
 {
-    static constexpr auto list = std::tuple(
+    static constexpr auto List = std::tuple(
         &RegisterContent::regions, &RegisterContent::domains, &RegisterContent::hosts,
         &RegisterContent::controlVoters, &RegisterContent::claimGroups, &RegisterContent::services,
         &RegisterContent::targets, &RegisterContent::links, &RegisterContent::clientBlocks,
@@ -101,7 +101,7 @@
 template <>
 struct Fields<RegisterDelta>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&RegisterDelta::from, &RegisterDelta::to, &RegisterDelta::regions,
                      &RegisterDelta::domains, &RegisterDelta::hosts, &RegisterDelta::controlVoters,
                      &RegisterDelta::claimGroups, &RegisterDelta::services, &RegisterDelta::targets,
@@ -112,7 +112,7 @@
 template <typename Entity>
 struct Fields<EntityDelta<Entity>>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&EntityDelta<Entity>::put, &EntityDelta<Entity>::remove);
 };
 
--- a/packages/protocol/ggv/protocol/codec/peer_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/peer_codec.cpp
@@ -10,53 +10,53 @@
 template <>
 struct Fields<Hello>
 {
-    static constexpr auto list = std::tuple(&Hello::wireVersion, &Hello::host, &Hello::process,
+    static constexpr auto List = std::tuple(&Hello::wireVersion, &Hello::host, &Hello::process,
                                             &Hello::member, &Hello::nonce);
 };
 
 template <>
 struct Fields<HelloProof>
 {
-    static constexpr auto list = std::tuple(&HelloProof::proof);
+    static constexpr auto List = std::tuple(&HelloProof::proof);
 };
 
 template <>
 struct Fields<GroupMessage>
 {
-    static constexpr auto list = std::tuple(&GroupMessage::group, &GroupMessage::message);
+    static constexpr auto List = std::tuple(&GroupMessage::group, &GroupMessage::message);
 };
 
 template <>
 struct Fields<ProposeCall>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&ProposeCall::group, &ProposeCall::call, &ProposeCall::command);
 };
 
 template <>
 struct Fields<ProposeAnswer>
 {
-    static constexpr auto list = std::tuple(&ProposeAnswer::call, &ProposeAnswer::code,
+    static constexpr auto List = std::tuple(&ProposeAnswer::call, &ProposeAnswer::code,
                                             &ProposeAnswer::leader, &ProposeAnswer::answer);
 };
 
 template <>
 struct Fields<ConfigurationRequest>
 {
-    static constexpr auto list = std::tuple(&ConfigurationRequest::version);
+    static constexpr auto List = std::tuple(&ConfigurationRequest::version);
 };
 
 template <>
 struct Fields<ConfigurationUpdate>
 {
-    static constexpr auto list = std::tuple(&ConfigurationUpdate::from, &ConfigurationUpdate::to,
+    static constexpr auto List = std::tuple(&ConfigurationUpdate::from, &ConfigurationUpdate::to,
                                             &ConfigurationUpdate::content);
 };
 
 template <>
 struct Fields<HostReport>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&HostReport::host, &HostReport::process, &HostReport::sequence,
                      &HostReport::version, &HostReport::leaving);
 };
@@ -64,20 +64,20 @@
 template <>
 struct Fields<HostReports>
 {
-    static constexpr auto list = std::tuple(&HostReports::reports);
+    static constexpr auto List = std::tuple(&HostReports::reports);
 };
 
 template <>
 struct Fields<HostException>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&HostException::host, &HostException::state, &HostException::version);
 };
 
 template <>
 struct Fields<MembershipView>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&MembershipView::term, &MembershipView::sequence, &MembershipView::version,
                      &MembershipView::leader, &MembershipView::exceptions);
 };
@@ -85,32 +85,32 @@
 template <>
 struct Fields<BudgetKey>
 {
-    static constexpr auto list = std::tuple(&BudgetKey::kind, &BudgetKey::subject);
+    static constexpr auto List = std::tuple(&BudgetKey::kind, &BudgetKey::subject);
 };
 
 template <>
 struct Fields<BudgetShare>
 {
-    static constexpr auto list = std::tuple(&BudgetShare::key, &BudgetShare::units);
+    static constexpr auto List = std::tuple(&BudgetShare::key, &BudgetShare::units);
 };
 
 template <>
 struct Fields<LeasedShare>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&LeasedShare::key, &LeasedShare::pool, &LeasedShare::borrowed);
 };
 
 template <>
 struct Fields<GrantId>
 {
-    static constexpr auto list = std::tuple(&GrantId::term, &GrantId::sequence);
+    static constexpr auto List = std::tuple(&GrantId::term, &GrantId::sequence);
 };
 
 template <>
 struct Fields<LeaseRequest>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&LeaseRequest::holder, &LeaseRequest::sequence, &LeaseRequest::process,
                      &LeaseRequest::registerVersion, &LeaseRequest::lastGrant, &LeaseRequest::held,
                      &LeaseRequest::renewable, &LeaseRequest::retained, &LeaseRequest::wanted);
@@ -119,7 +119,7 @@
 template <>
 struct Fields<LeaseGrant>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&LeaseGrant::sequence, &LeaseGrant::process, &LeaseGrant::term,
                      &LeaseGrant::registerVersion, &LeaseGrant::lifetime, &LeaseGrant::renewalOnly,
                      &LeaseGrant::shares, &LeaseGrant::fixed);
@@ -128,26 +128,26 @@
 template <>
 struct Fields<LeaseCall>
 {
-    static constexpr auto list = std::tuple(&LeaseCall::request, &LeaseCall::hops);
+    static constexpr auto List = std::tuple(&LeaseCall::request, &LeaseCall::hops);
 };
 
 template <>
 struct Fields<LeaseAnswer>
 {
-    static constexpr auto list
+    static constexpr auto List
         = std::tuple(&LeaseAnswer::holder, &LeaseAnswer::grant, &LeaseAnswer::version);
 };
 
 template <>
 struct Fields<ClaimGroupCall>
 {
-    static constexpr auto list = std::tuple(&ClaimGroupCall::group, &ClaimGroupCall::call);
+    static constexpr auto List = std::tuple(&ClaimGroupCall::group, &ClaimGroupCall::call);
 };
 
 template <>
 struct Fields<ClaimGroupAnswer>
 {
-    static constexpr auto list = std::tuple(&ClaimGroupAnswer::group, &ClaimGroupAnswer::answer);
+    static constexpr auto List = std::tuple(&ClaimGroupAnswer::group, &ClaimGroupAnswer::answer);
 };
 
 } // namespace detail
