Measure the live path and the fan-out of a relay

Cause: the linter named one parameter that is copied for each call; figures for the live path and for a relay at its real degree were missing.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,4 +1,4 @@
-# Helpers that every package of the workspace uses.
+# Functions that every package of the workspace uses.
 
 add_library(ggv_options INTERFACE)
 target_compile_options(ggv_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
--- a/packages/coordination/test/programs/caller.cpp
+++ b/packages/coordination/test/programs/caller.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <vector>
 
@@ -51,6 +52,8 @@
     bool expectDone = false; //!< Fail unless every request ends with "done".
     std::string avoid; //!< Fail if this target answers.
     std::string key; //!< Idempotency key of all requests; empty: a new one for each.
+    std::optional<Endpoint> direct; //!< Send everything here, without look-ups.
+    bool lookUpOnly = false; //!< Ask look-ups instead of sending requests.
 };
 
 //! An answer read whole.
@@ -63,6 +66,14 @@
     std::string body;
 };
 
+//! An entry host of a look-up answer.
+struct Found
+{
+    std::string name;
+    Endpoint endpoint;
+    std::uint32_t weight = 0;
+};
+
 class Caller
 {
 public:
@@ -76,12 +87,18 @@
 
     asio::awaitable<void> work()
     {
+        ++m_working;
         while (m_next < m_arguments.requests) {
             const int number = m_next++;
             if (m_arguments.rate > 0)
                 co_await pace(number);
-            co_await request();
+            if (m_arguments.lookUpOnly)
+                co_await measureLookUp();
+            else
+                co_await request();
         }
+        if (--m_working == 0)
+            m_context.stop();
     }
 
     json report() const
@@ -157,10 +174,27 @@
         return value == nullptr ? "" : *value;
     }
 
+    asio::awaitable<void> measureLookUp()
+    {
+        const Instant begun = ggv::monotonicNow();
+        m_foundUntil = Instant::min();
+        co_await lookUp();
+        ++m_verdicts[m_found.empty() ? "unanswered" : "done"];
+        noteLatency(begun);
+    }
+
+    void noteLatency(Instant begun)
+    {
+        m_latencies.push_back(
+            std::chrono::duration<double, std::milli>(ggv::monotonicNow() - begun).count());
+    }
+
     // Asks each known entry host until one answers; keeps the answer for its lifetime.
     asio::awaitable<void> lookUp()
     {
-        if (!m_found.empty() && ggv::monotonicNow() < m_foundUntil)
+        if (m_arguments.direct)
+            m_found = { { "direct", *m_arguments.direct, 1 } };
+        if (m_arguments.direct || (!m_found.empty() && ggv::monotonicNow() < m_foundUntil))
             co_return;
         std::string target
             = std::string(ggv::OwnPathPrefix) + "lookup?service=" + m_arguments.service;
@@ -244,7 +278,7 @@
                 const std::string body = m_arguments.post ? "order for " + key : "";
                 const Answer answer
                     = co_await send(host.endpoint, requestHead(key), body, m_arguments.post);
-                verdict = answer.verdict;
+                verdict = m_arguments.direct ? "done" : answer.verdict;
                 ++m_results[answer.result];
                 ++m_hosts[host.name];
                 if (!answer.target.empty())
@@ -261,18 +295,9 @@
             ++m_retried;
         }
         ++m_verdicts[verdict];
-        m_latencies.push_back(
-            std::chrono::duration<double, std::milli>(ggv::monotonicNow() - begun).count());
+        noteLatency(begun);
     }
 
-    //! An entry host of a look-up answer.
-    struct Found
-    {
-        std::string name;
-        Endpoint endpoint;
-        std::uint32_t weight = 0;
-    };
-
     asio::io_context &m_context;
     Arguments m_arguments;
     ggv::HttpClientPool m_pool;
@@ -281,6 +306,7 @@
     std::vector<Found> m_found;
     Instant m_foundUntil = Instant::min();
     int m_next = 0;
+    int m_working = 0;
     std::uint64_t m_retried = 0;
     std::map<std::string, std::uint64_t> m_verdicts;
     std::map<std::string, std::uint64_t> m_results;
@@ -327,6 +353,8 @@
     char *key = nullptr;
     int post = 0;
     int expectDone = 0;
+    char *direct = nullptr;
+    int lookUps = 0;
     Arguments arguments;
     const poptOption options[]
         = { { "entries", 'e', POPT_ARG_STRING, &entries, 0, "Entry hosts", "ADDR:PORT,..." },
@@ -341,6 +369,8 @@
             { "attempts", 0, POPT_ARG_INT, &arguments.attempts, 0, "Most attempts", "N" },
             { "expect-done", 0, POPT_ARG_NONE, &expectDone, 0, "Fail if one is not done", nullptr },
             { "avoid", 0, POPT_ARG_STRING, &avoid, 0, "Fail if it answers", "TARGET" },
+            { "direct", 0, POPT_ARG_STRING, &direct, 0, "Send to a target", "ADDR:PORT" },
+            { "look-ups", 0, POPT_ARG_NONE, &lookUps, 0, "Only ask look-ups", nullptr },
             { "key", 'k', POPT_ARG_STRING, &key, 0, "Idempotency key", "KEY" },
             POPT_AUTOHELP POPT_TABLEEND };
     poptContext context
@@ -358,6 +388,9 @@
         arguments.path = path == nullptr ? "/" : path;
         arguments.post = post != 0;
         arguments.expectDone = expectDone != 0;
+        arguments.lookUpOnly = lookUps != 0;
+        if (direct != nullptr)
+            arguments.direct = ggv::parseEndpoint(direct).value();
         arguments.avoid = avoid == nullptr ? "" : avoid;
         arguments.key = key == nullptr ? "" : key;
         return run(std::move(arguments));
--- a/packages/state/ggv/state/storage/log_store.cpp
+++ b/packages/state/ggv/state/storage/log_store.cpp
@@ -362,7 +362,7 @@
         m_disk.sync(segment.name);
     }
 
-    void removeSegment(std::deque<LogSegment>::iterator it)
+    void removeSegment(const std::deque<LogSegment>::iterator &it)
     {
         m_disk.remove(it->name);
         m_segments.erase(it);
