--- /dev/null
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -0,0 +1,592 @@
+#include <ggv/coordination/fleet/control_host.hpp>
+
+#include <ggv/coordination/fleet/fleet_directory.hpp>
+#include <ggv/coordination/fleet/fleet_machine.hpp>
+#include <ggv/coordination/fleet/fleet_mesh.hpp>
+#include <ggv/coordination/fleet/member_policy.hpp>
+#include <ggv/coordination/fleet/shared_target_list.hpp>
+#include <ggv/coordination/node/host_identity.hpp>
+#include <ggv/coordination/quorum/quorum.hpp>
+#include <ggv/protocol/codec/fleet_codec.hpp>
+#include <ggv/state/core/random_source.hpp>
+#include <ggv/state/log/event_log.hpp>
+#include <ggv/transport/net/shared_secret.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace ggv {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr Duration SightingInterval = std::chrono::milliseconds(400);
+//! The leader reads the platform's list this often.
+constexpr Duration ListInterval = std::chrono::milliseconds(450);
+//! Another control host reads the list itself if what it was told is older.
+constexpr Duration ListPatience = std::chrono::milliseconds(1300);
+//! Further patience, drawn by each host, so that not all read at once.
+constexpr Duration ListJitter = std::chrono::milliseconds(500);
+constexpr Duration OrderTimeout = std::chrono::milliseconds(2500);
+
+//! A connection that another host opened.
+struct Session
+{
+    std::shared_ptr<FrameConnection> connection;
+    std::optional<HostReport> report; //!< Newest one.
+    std::uint64_t sentRevision = 0;
+    std::uint64_t sentDigest = 0;
+};
+
+} // namespace
+
+class ControlHost::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(asio::io_context &context, ControlHostSetup setup, TargetListReader &reader)
+        : m_context(context)
+        , m_setup(std::move(setup))
+        , m_reader(reader)
+        , m_timer(context)
+        , m_machine([this] { stateChanged(); })
+        , m_mesh(context, [this](const Endpoint &peer) { greet(peer); })
+        , m_random(randomNumber())
+    { }
+
+    void start()
+    {
+        m_disk = openPosixDisk(m_setup.dataFolder);
+        const HostName identity(m_setup.self.internal.address);
+        const auto incarnation = loadIncarnation(*m_disk, identity, m_setup.initialize);
+        m_setup.self.member = memberIdOf(identity, incarnation);
+        m_quorum = Quorum::start(m_context, *m_disk, quorumSetup(incarnation), m_machine,
+                                 [this](RaftMessage message) { transmit(std::move(message)); })
+                       .value();
+        m_listener = std::make_unique<FrameListener>(
+            m_context, m_setup.self.internal, fleetFrameOptions(),
+            [weak = weak_from_this()](std::shared_ptr<FrameConnection> connection) {
+                if (const auto self = weak.lock())
+                    self->accept(std::move(connection));
+            });
+        m_started = true;
+        observeSelf();
+        tick();
+        asio::co_spawn(
+            m_context, [self = shared_from_this()] { return self->readListLoop(); },
+            asio::detached);
+        logEvent(LogLevel::Info, "control-host-started",
+                 { { "member", m_setup.self.member },
+                   { "incarnation", incarnation },
+                   { "initialize", m_setup.initialize },
+                   { "version", m_machine.state().version } });
+    }
+
+    // Seeds found the quorum together; every other host joins it later.
+    QuorumSetup quorumSetup(std::uint64_t incarnation) const
+    {
+        QuorumSetup setup { "fleet", "fleet-", m_setup.self.member, {}, {} };
+        setup.options.seed = randomNumber();
+        const auto &seeds = m_setup.seeds;
+        const bool isSeed
+            = std::find(seeds.begin(), seeds.end(), m_setup.self.internal) != seeds.end();
+        if (!isSeed || incarnation != FirstIncarnation)
+            return setup;
+        for (const auto &seed : seeds)
+            setup.bootstrapVoters.push_back(memberIdOf(HostName(seed.address), FirstIncarnation));
+        return setup;
+    }
+
+    void tick()
+    {
+        const Instant now = monotonicNow();
+        observeSelf();
+        m_mesh.setPeers(peers(now));
+        m_mesh.tick(now);
+        if (now - m_sightingsSentAt >= SightingInterval) {
+            m_sightingsSentAt = now;
+            m_directory.expire(now);
+            sendSightings(now);
+        }
+        noteLeadership(now);
+        adjustMembers(now);
+        m_timer.expires_after(TickInterval);
+        m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+            const auto self = weak.lock();
+            if (self && !ec)
+                self->tick();
+        });
+    }
+
+    void observeSelf()
+    {
+        m_setup.self.ready = true;
+        (void)m_directory.observe({ m_setup.self, Duration(0) }, monotonicNow());
+    }
+
+    std::set<Endpoint> peers(Instant now) const
+    {
+        std::set<Endpoint> endpoints(m_setup.seeds.begin(), m_setup.seeds.end());
+        for (const auto &host : m_directory.alive(HostRole::Control, now))
+            endpoints.insert(host.internal);
+        for (const auto &it : m_machine.state().members) {
+            if (isMember(it.member))
+                endpoints.insert(it.internal);
+        }
+        endpoints.erase(m_setup.self.internal);
+        return endpoints;
+    }
+
+    bool isMember(MemberId member) const
+    {
+        const auto status = m_quorum->status();
+        return std::find(status.voters.begin(), status.voters.end(), member) != status.voters.end()
+            || std::find(status.learners.begin(), status.learners.end(), member)
+            != status.learners.end();
+    }
+
+    HostReport ownReport() const
+    {
+        return { m_setup.self, m_machine.state().revision, m_list.digest() };
+    }
+
+    void greet(const Endpoint &peer)
+    {
+        m_mesh.send(peer, ownReport());
+        m_mesh.send(peer, SightingReport { ownSightings(monotonicNow()) });
+        m_mesh.send(peer, m_list.report(0, monotonicNow()));
+    }
+
+    // Entry hosts with a session here, and all control hosts, so that members find each other.
+    std::vector<HostSighting> ownSightings(Instant now) const
+    {
+        std::set<HostName> attached;
+        for (const auto &[id, session] : m_sessions) {
+            if (session.report)
+                attached.insert(session.report->host.name);
+        }
+        std::vector<HostSighting> sightings;
+        for (auto &it : m_directory.sightings(now)) {
+            const bool own = it.host.name == m_setup.self.name || attached.contains(it.host.name);
+            if (own || it.host.role == HostRole::Control)
+                sightings.push_back(std::move(it));
+        }
+        return sightings;
+    }
+
+    void sendSightings(Instant now)
+    {
+        const SightingReport report { ownSightings(now) };
+        for (const auto &peer : m_mesh.connected()) {
+            m_mesh.send(peer, ownReport());
+            m_mesh.send(peer, report);
+        }
+    }
+
+    std::optional<Endpoint> endpointOf(MemberId member) const
+    {
+        if (const auto seen = m_directory.findMember(member, monotonicNow()))
+            return seen->host.internal;
+        for (const auto &it : m_machine.state().members) {
+            if (it.member == member)
+                return it.internal;
+        }
+        for (const auto &seed : m_setup.seeds) {
+            if (memberIdOf(HostName(seed.address), FirstIncarnation) == member)
+                return seed;
+        }
+        return std::nullopt;
+    }
+
+    void transmit(RaftMessage message)
+    {
+        if (const auto endpoint = endpointOf(message.to))
+            m_mesh.send(*endpoint, QuorumEnvelope { std::move(message) });
+    }
+
+    void accept(std::shared_ptr<FrameConnection> connection)
+    {
+        const std::uint64_t id = ++m_lastSession;
+        m_sessions[id].connection = connection;
+        connection->start(
+            [weak = weak_from_this(), id](ByteView bytes) {
+                if (const auto self = weak.lock())
+                    self->receive(id, bytes);
+            },
+            [weak = weak_from_this(), id](const Error &error) {
+                if (const auto self = weak.lock())
+                    self->sessionClosed(id, error.what());
+            });
+    }
+
+    void sessionClosed(std::uint64_t id, const char *reason)
+    {
+        const auto it = m_sessions.find(id);
+        if (it == m_sessions.end())
+            return;
+        if (it->second.report)
+            logEvent(LogLevel::Warning, "session-lost",
+                     { { "host", it->second.report->host.name.text() }, { "reason", reason } });
+        m_sessions.erase(it);
+    }
+
+    void receive(std::uint64_t id, ByteView bytes)
+    {
+        const auto it = m_sessions.find(id);
+        if (it == m_sessions.end())
+            return;
+        try {
+            const auto message = decodeFleetMessage(bytes);
+            std::visit([this, &it](const auto &body) { handle(it->second, body); }, message);
+        } catch (const Error &error) {
+            logEvent(LogLevel::Error, "message-refused", { { "reason", error.what() } });
+            it->second.connection->close();
+            m_sessions.erase(id);
+        }
+    }
+
+    void handle(Session &session, const HostReport &report)
+    {
+        const bool isNew = !session.report;
+        session.report = report;
+        if (m_directory.observe({ report.host, Duration(0) }, monotonicNow()))
+            logHost(report.host);
+        if (isNew) {
+            session.sentRevision = report.revision;
+            session.sentDigest = report.listDigest;
+        }
+        if (report.host.role == HostRole::Entry)
+            sendFeed(session);
+    }
+
+    void handle(Session &, const SightingReport &report)
+    {
+        for (const auto &it : report.hosts) {
+            if (it.host.name != m_setup.self.name && m_directory.observe(it, monotonicNow()))
+                logHost(it.host);
+        }
+    }
+
+    void handle(Session &session, const QuorumEnvelope &envelope)
+    {
+        // A message from an identity that the connected process does not have is refused.
+        if (session.report && session.report->host.member == envelope.message.from)
+            m_quorum->receive(envelope.message);
+    }
+
+    void handle(Session &, const TargetListReport &report)
+    {
+        if (m_list.adopt(report, monotonicNow()))
+            sendListToEntryHosts();
+    }
+
+    void handle(Session &, const FleetFeed &) { }
+
+    static void logHost(const HostAnnouncement &host)
+    {
+        logEvent(LogLevel::Info, "host-seen",
+                 { { "host", host.name.text() },
+                   { "address", host.service.address },
+                   { "member", host.member },
+                   { "ready", host.ready } });
+    }
+
+    bool isCurrent() const
+    {
+        const auto status = m_quorum->status();
+        if (status.role == RaftRole::Leader)
+            return m_quorum->hasLeaderLease();
+        return status.leader != 0;
+    }
+
+    void sendFeed(Session &session)
+    {
+        const Instant now = monotonicNow();
+        const auto &state = m_machine.state();
+        FleetFeed feed;
+        feed.current = isCurrent() && state.version > 0;
+        feed.revision = state.revision;
+        feed.evacuated = state.evacuated;
+        feed.entryHosts
+            = static_cast<std::uint32_t>(m_directory.alive(HostRole::Entry, now).size());
+        feed.controlHosts = m_directory.alive(HostRole::Control, now);
+        if (session.sentRevision != state.revision)
+            feed.configuration = state.configuration;
+        session.sentRevision = state.revision;
+        session.connection->send(encodeFleetMessage(feed));
+        sendList(session, now);
+    }
+
+    void sendList(Session &session, Instant now)
+    {
+        session.connection->send(encodeFleetMessage(m_list.report(session.sentDigest, now)));
+        session.sentDigest = m_list.digest();
+    }
+
+    void sendListToEntryHosts()
+    {
+        for (auto &[id, session] : m_sessions) {
+            const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
+            if (isEntry && session.sentDigest != m_list.digest())
+                sendList(session, monotonicNow());
+        }
+    }
+
+    void stateChanged()
+    {
+        if (!m_started || m_feedPending)
+            return;
+        m_feedPending = true;
+        asio::post(m_context, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->feedEntryHosts();
+        });
+    }
+
+    void feedEntryHosts()
+    {
+        m_feedPending = false;
+        const auto &state = m_machine.state();
+        logEvent(LogLevel::Info, "state-applied",
+                 { { "version", state.version },
+                   { "revision", state.revision },
+                   { "evacuated", state.evacuated.size() } });
+        for (auto &[id, session] : m_sessions) {
+            if (session.report && session.report->host.role == HostRole::Entry
+                && session.sentRevision != state.revision)
+                sendFeed(session);
+        }
+    }
+
+    void noteLeadership(Instant now)
+    {
+        const auto status = m_quorum->status();
+        if (status.leader == m_loggedLeader)
+            return;
+        m_loggedLeader = status.leader;
+        m_leaderSince = now;
+        logEvent(LogLevel::Info, "leader-changed",
+                 { { "leader", status.leader },
+                   { "term", status.term },
+                   { "self", status.leader == m_setup.self.member },
+                   { "voters", status.voters.size() } });
+    }
+
+    void adjustMembers(Instant now)
+    {
+        if (!m_quorum->hasLeaderLease())
+            return;
+        const auto step = nextMemberStep({ m_quorum->status(), m_machine.state().members,
+                                           m_directory.sightings(now), now - m_leaderSince,
+                                           m_setup.toleratedLosses });
+        if (!step || now - m_memberStepAt < MemberStepPause)
+            return;
+        m_memberStepAt = now;
+        logEvent(LogLevel::Info, "membership-step",
+                 { { "step", memberStepName(step->kind) },
+                   { "member", step->member },
+                   { "address", step->internal.address } });
+        switch (step->kind) {
+        case MemberStepKind::Register:
+            m_quorum->propose(encodeFleetCommand(RegisterMember { step->member, step->internal }),
+                              [](const Completion &) {});
+            break;
+        case MemberStepKind::Add:
+            m_quorum->addMember(step->member);
+            break;
+        case MemberStepKind::Remove:
+            m_quorum->removeMember(step->member);
+            break;
+        }
+    }
+
+    asio::awaitable<void> readListLoop()
+    {
+        const auto self = shared_from_this();
+        asio::steady_timer timer(m_context);
+        while (true) {
+            if (listIsDue(monotonicNow()))
+                co_await readList();
+            timer.expires_after(TickInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    bool listIsDue(Instant now)
+    {
+        const auto status = m_quorum->status();
+        const Duration age = m_list.age(now);
+        if (status.role == RaftRole::Leader)
+            return age >= ListInterval && now - m_listTriedAt >= ListInterval;
+        const Duration jitter(static_cast<Duration::rep>(
+            uniformFraction(m_random) * static_cast<double>(ListJitter.count())));
+        return age >= ListPatience + jitter && now - m_listTriedAt >= ListInterval * 2;
+    }
+
+    asio::awaitable<void> readList()
+    {
+        const Instant startedAt = monotonicNow();
+        m_listTriedAt = startedAt;
+        try {
+            auto targets = co_await m_reader.read();
+            m_list.replace(std::move(targets), startedAt);
+            noteList(true, "");
+        } catch (const Error &error) {
+            noteList(false, error.what());
+            co_return;
+        }
+        for (const auto &peer : m_mesh.connected())
+            m_mesh.send(
+                peer,
+                m_list.report(std::exchange(m_sentDigests[peer], m_list.digest()), monotonicNow()));
+        sendListToEntryHosts();
+    }
+
+    void noteList(bool readable, const char *reason)
+    {
+        if (m_listReadable == readable)
+            return;
+        m_listReadable = readable;
+        logEvent(readable ? LogLevel::Info : LogLevel::Warning,
+                 readable ? "target-list-regained" : "target-list-lost",
+                 { { "reason", reason }, { "age_ms", m_list.age(monotonicNow()).count() / 1000 } });
+    }
+
+    asio::io_context &m_context;
+    ControlHostSetup m_setup;
+    TargetListReader &m_reader;
+    asio::steady_timer m_timer;
+    std::unique_ptr<Disk> m_disk;
+    FleetMachine m_machine;
+    FleetDirectory m_directory;
+    FleetMesh m_mesh;
+    std::unique_ptr<Quorum> m_quorum;
+    std::unique_ptr<FrameListener> m_listener;
+    std::map<std::uint64_t, Session> m_sessions;
+    std::uint64_t m_lastSession = 0;
+    std::map<Endpoint, std::uint64_t> m_sentDigests; //!< Lists that control hosts were sent.
+    SharedTargetList m_list;
+    RandomSource m_random;
+    Instant m_sightingsSentAt = Instant(Duration(0));
+    Instant m_listTriedAt = Instant(Duration(0));
+    Instant m_leaderSince {};
+    Instant m_memberStepAt = Instant(Duration(0));
+    MemberId m_loggedLeader = 0;
+    bool m_listReadable = true;
+    bool m_started = false;
+    bool m_feedPending = false;
+};
+
+ControlHost::ControlHost(std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+ControlHost::~ControlHost() = default;
+
+Result<std::unique_ptr<ControlHost>>
+ControlHost::start(asio::io_context &context, ControlHostSetup setup, TargetListReader &reader)
+{
+    try {
+        auto implementation = std::make_shared<Implementation>(context, std::move(setup), reader);
+        implementation->start();
+        return std::unique_ptr<ControlHost>(new ControlHost(std::move(implementation)));
+    } catch (const Error &error) {
+        return error;
+    }
+}
+
+void ControlHost::setSeeds(std::vector<Endpoint> seeds)
+{
+    m_implementation->m_setup.seeds = std::move(seeds);
+}
+
+namespace {
+
+//! Waits on the loop until a completion arrives or the time is over.
+struct CompletionWaiter
+{
+    explicit CompletionWaiter(asio::io_context &context)
+        : timer(context)
+    {
+        timer.expires_after(OrderTimeout);
+    }
+
+    asio::steady_timer timer;
+    std::optional<Completion> completion;
+};
+
+asio::awaitable<std::optional<Completion>> waitFor(std::shared_ptr<CompletionWaiter> waiter)
+{
+    if (!waiter->completion) {
+        try {
+            co_await waiter->timer.async_wait(asio::use_awaitable);
+        } catch (const boost::system::system_error &) {
+            // Cancelled by the completion.
+        }
+    }
+    co_return waiter->completion;
+}
+
+} // namespace
+
+asio::awaitable<OrderOutcome> ControlHost::execute(FleetCommand command)
+{
+    const auto self = m_implementation;
+    if (self->m_quorum->status().role != RaftRole::Leader)
+        co_return OrderOutcome { ResultCode::NotLeader, 0 };
+    const auto waiter = std::make_shared<CompletionWaiter>(self->m_context);
+    self->m_quorum->propose(encodeFleetCommand(command), [waiter](const Completion &completion) {
+        waiter->completion = completion;
+        waiter->timer.cancel();
+    });
+    const auto completion = co_await waitFor(waiter);
+    if (!completion)
+        co_return OrderOutcome { ResultCode::ChangeOutcomeUnknown, 0 };
+    if (completion->code != ResultCode::Ok)
+        co_return OrderOutcome { completion->code, 0 };
+    const auto answer = decodeFleetCommandAnswer(completion->answer);
+    co_return OrderOutcome { answer.code, answer.currentVersion };
+}
+
+asio::awaitable<std::optional<FleetState>> ControlHost::confirmedState()
+{
+    const auto self = m_implementation;
+    const auto waiter = std::make_shared<CompletionWaiter>(self->m_context);
+    self->m_quorum->confirmRead([waiter](const Completion &completion) {
+        waiter->completion = completion;
+        waiter->timer.cancel();
+    });
+    const auto completion = co_await waitFor(waiter);
+    if (!completion || completion->code != ResultCode::Ok)
+        co_return std::nullopt;
+    co_return self->m_machine.state();
+}
+
+std::optional<Endpoint> ControlHost::otherLeader() const
+{
+    const auto status = m_implementation->m_quorum->status();
+    if (status.leader == 0 || status.leader == m_implementation->m_setup.self.member)
+        return std::nullopt;
+    const auto seen = m_implementation->m_directory.findMember(status.leader, monotonicNow());
+    if (!seen || seen->age > FleetDirectory::AliveTime)
+        return std::nullopt;
+    return seen->host.service;
+}
+
+bool ControlHost::leads() const { return m_implementation->m_quorum->hasLeaderLease(); }
+
+std::vector<HostAnnouncement> ControlHost::entryHosts() const
+{
+    auto hosts = m_implementation->m_directory.alive(HostRole::Entry, monotonicNow());
+    std::erase_if(hosts, [](const HostAnnouncement &it) { return !it.ready; });
+    return hosts;
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -0,0 +1,191 @@
+#include <ggv/coordination/fleet/entry_link.hpp>
+
+#include <ggv/coordination/fleet/fleet_mesh.hpp>
+#include <ggv/protocol/codec/fleet_codec.hpp>
+#include <ggv/state/log/event_log.hpp>
+
+#include <algorithm>
+
+namespace ggv {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr Duration ReportInterval = std::chrono::milliseconds(400);
+//! Without a confirmed state for this long, the next control host is tried.
+constexpr Duration FeedPatience = std::chrono::milliseconds(900);
+
+constexpr int SameDomain = 0;
+constexpr int SameRegion = 1;
+constexpr int OtherRegion = 2;
+
+} // namespace
+
+std::shared_ptr<EntryLink> EntryLink::start(boost::asio::io_context &context, HostAnnouncement self,
+                                            std::vector<Endpoint> seeds, Handlers handlers)
+{
+    std::shared_ptr<EntryLink> link(
+        new EntryLink(context, std::move(self), std::move(seeds), std::move(handlers)));
+    link->tick();
+    return link;
+}
+
+EntryLink::EntryLink(boost::asio::io_context &context, HostAnnouncement self,
+                     std::vector<Endpoint> seeds, Handlers handlers)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_handlers(std::move(handlers))
+    , m_timer(context)
+{ }
+
+EntryLink::~EntryLink()
+{
+    if (m_connection)
+        m_connection->close();
+}
+
+void EntryLink::setReady(bool ready)
+{
+    if (m_self.ready == ready)
+        return;
+    m_self.ready = ready;
+    sendReport();
+}
+
+void EntryLink::setSeeds(std::vector<Endpoint> seeds) { m_seeds = std::move(seeds); }
+
+Duration EntryLink::stateAge() const { return monotonicNow() - m_currentAt; }
+
+Duration EntryLink::listAge() const { return m_list.age(monotonicNow()); }
+
+void EntryLink::tick()
+{
+    const Instant now = monotonicNow();
+    if (m_connection && now - std::max(m_currentAt, m_openedAt) > FeedPatience)
+        drop("no confirmed state");
+    if (!m_connection && !m_connecting)
+        connectNext();
+    if (m_connection && now - m_reportedAt >= ReportInterval)
+        sendReport();
+    m_timer.expires_after(TickInterval);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+        const auto self = weak.lock();
+        if (self && !ec)
+            self->tick();
+    });
+}
+
+int EntryLink::distance(const HostAnnouncement &host) const
+{
+    if (host.domain == m_self.domain)
+        return SameDomain;
+    return host.region == m_self.region ? SameRegion : OtherRegion;
+}
+
+std::vector<Endpoint> EntryLink::candidates() const
+{
+    auto hosts = m_controlHosts;
+    std::stable_sort(hosts.begin(), hosts.end(), [this](const auto &one, const auto &other) {
+        return distance(one) < distance(other);
+    });
+    std::vector<Endpoint> endpoints;
+    for (const auto &it : hosts)
+        endpoints.push_back(it.internal);
+    for (const auto &it : m_seeds) {
+        if (std::find(endpoints.begin(), endpoints.end(), it) == endpoints.end())
+            endpoints.push_back(it);
+    }
+    return endpoints;
+}
+
+void EntryLink::connectNext()
+{
+    const auto endpoints = candidates();
+    if (endpoints.empty())
+        return;
+    m_peer = endpoints[m_nextCandidate++ % endpoints.size()];
+    m_connecting = true;
+    connectFrames(
+        m_context, m_peer, fleetFrameOptions(),
+        [weak = weak_from_this()](std::shared_ptr<FrameConnection> connection) {
+            if (const auto self = weak.lock())
+                self->opened(std::move(connection));
+        },
+        [weak = weak_from_this()](ConnectFailure) {
+            if (const auto self = weak.lock())
+                self->m_connecting = false;
+        });
+}
+
+void EntryLink::opened(std::shared_ptr<FrameConnection> connection)
+{
+    m_connecting = false;
+    m_connection = std::move(connection);
+    m_openedAt = monotonicNow();
+    logEvent(LogLevel::Info, "control-host-connected",
+             { { "peer", m_peer.address }, { "revision", m_revision } });
+    m_connection->start(
+        [weak = weak_from_this()](ByteView bytes) {
+            if (const auto self = weak.lock())
+                self->receive(bytes);
+        },
+        [weak = weak_from_this()](const Error &error) {
+            if (const auto self = weak.lock())
+                self->drop(error.what());
+        });
+    sendReport();
+}
+
+void EntryLink::drop(const char *reason)
+{
+    logEvent(LogLevel::Warning, "control-host-lost",
+             { { "peer", m_peer.address },
+               { "reason", reason },
+               { "state_age_ms", stateAge().count() / 1000 } });
+    if (m_connection)
+        m_connection->close();
+    m_connection.reset();
+}
+
+void EntryLink::sendReport()
+{
+    if (!m_connection)
+        return;
+    m_reportedAt = monotonicNow();
+    m_connection->send(encodeFleetMessage(HostReport { m_self, m_revision, m_list.digest() }));
+}
+
+void EntryLink::receive(ByteView bytes)
+{
+    try {
+        const auto message = decodeFleetMessage(bytes);
+        if (const auto *feed = std::get_if<FleetFeed>(&message))
+            handle(*feed);
+        else if (const auto *report = std::get_if<TargetListReport>(&message))
+            handle(*report);
+    } catch (const Error &error) {
+        drop(error.what());
+    }
+}
+
+void EntryLink::handle(const FleetFeed &feed)
+{
+    if (!feed.current || feed.revision < m_revision)
+        return;
+    if (feed.revision > m_revision && !feed.configuration)
+        return;
+    m_revision = feed.revision;
+    m_currentAt = monotonicNow();
+    m_controlHosts = feed.controlHosts;
+    m_nextCandidate = 0;
+    m_handlers.onFeed(feed);
+}
+
+void EntryLink::handle(const TargetListReport &report)
+{
+    if (m_list.adopt(report, monotonicNow()))
+        m_handlers.onTargets(m_list.list(), m_list.age(monotonicNow()));
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
@@ -0,0 +1,56 @@
+#include <ggv/coordination/fleet/fleet_directory.hpp>
+
+namespace ggv {
+
+bool FleetDirectory::observe(const HostSighting &sighting, Instant now)
+{
+    const Instant heardAt = now - sighting.age;
+    const auto [it, isNew]
+        = m_hosts.try_emplace(sighting.host.name, Entry { sighting.host, heardAt });
+    if (isNew)
+        return true;
+    auto &entry = it->second;
+    if (heardAt < entry.heardAt)
+        return false;
+    entry.heardAt = heardAt;
+    if (entry.host == sighting.host)
+        return false;
+    entry.host = sighting.host;
+    return true;
+}
+
+void FleetDirectory::forget(const HostName &name) { m_hosts.erase(name); }
+
+std::vector<HostAnnouncement> FleetDirectory::alive(HostRole role, Instant now) const
+{
+    std::vector<HostAnnouncement> hosts;
+    for (const auto &[name, entry] : m_hosts) {
+        if (entry.host.role == role && now - entry.heardAt < AliveTime)
+            hosts.push_back(entry.host);
+    }
+    return hosts;
+}
+
+std::vector<HostSighting> FleetDirectory::sightings(Instant now) const
+{
+    std::vector<HostSighting> sightings;
+    for (const auto &[name, entry] : m_hosts)
+        sightings.push_back({ entry.host, now - entry.heardAt });
+    return sightings;
+}
+
+std::optional<HostSighting> FleetDirectory::findMember(MemberId member, Instant now) const
+{
+    for (const auto &[name, entry] : m_hosts) {
+        if (entry.host.member == member)
+            return HostSighting { entry.host, now - entry.heardAt };
+    }
+    return std::nullopt;
+}
+
+void FleetDirectory::expire(Instant now)
+{
+    std::erase_if(m_hosts, [now](const auto &it) { return now - it.second.heardAt > ForgetTime; });
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/fleet/fleet_machine.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <ggv/coordination/consensus/raft.hpp>
+#include <ggv/protocol/message/fleet_message.hpp>
+
+#include <functional>
+
+namespace ggv {
+
+/**
+ * @brief Replicated state of the control hosts: configuration, evacuations, addresses of members.
+ */
+class FleetMachine : public StateMachine
+{
+public:
+    //! @param onChange Called after each change of the state.
+    explicit FleetMachine(std::function<void()> onChange);
+
+    Bytes apply(LogIndex index, ByteView command) override;
+    [[nodiscard]] Bytes encode() const override;
+    void restore(ByteView state) override;
+
+    //! @return What has been applied.
+    [[nodiscard]] const FleetState &state() const noexcept { return m_state; }
+
+private:
+    [[nodiscard]] FleetCommandAnswer apply(LogIndex index, const ChangeConfiguration &change);
+    [[nodiscard]] FleetCommandAnswer apply(LogIndex index, const SetEvacuation &change);
+    [[nodiscard]] FleetCommandAnswer apply(LogIndex index, const RegisterMember &change);
+
+    FleetState m_state;
+    std::function<void()> m_onChange;
+};
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/gateway/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace ggv {
+
+struct ForwardingHeaders;
+struct GatewaySetup;
+class Gateway;
+class GatewayContext;
+class GatewayRequest;
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -0,0 +1,196 @@
+#include <ggv/coordination/gateway/gateway.hpp>
+
+#include <ggv/coordination/fleet/entry_link.hpp>
+#include <ggv/coordination/gateway/gateway_request.hpp>
+#include <ggv/state/log/event_log.hpp>
+#include <ggv/transport/http/http_server.hpp>
+
+namespace ggv {
+
+namespace asio = boost::asio;
+
+namespace {
+
+//! Part of the grace in which callers that cached this host's address are still served as usual.
+constexpr double ServeShare = 0.4;
+//! Part of the grace after which no connection is accepted any more.
+constexpr double AcceptShare = 0.75;
+//! Part of the grace after which the process ends whatever is left.
+constexpr double EndShare = 0.95;
+
+HttpLimits callerLimits()
+{
+    HttpLimits limits;
+    limits.maxHeaderBytes = 64 * 1024;
+    limits.idleTimeout = std::chrono::minutes(3);
+    limits.headerTimeout = std::chrono::seconds(10);
+    return limits;
+}
+
+HttpAnswer faultAnswer(ResultCode code, const std::string &message)
+{
+    switch (code) {
+    case ResultCode::HeaderTooLarge:
+        return { 431, {}, message + "\n" };
+    case ResultCode::BodyTooLarge:
+        return { 413, {}, message + "\n" };
+    case ResultCode::RequestTimedOut:
+        return { 408, {}, message + "\n" };
+    case ResultCode::Overloaded:
+        return { 503, { { "Retry-After", "1" } }, message + "\n" };
+    case ResultCode::MalformedRequest:
+        return { 400, {}, message + "\n" };
+    default:
+        return { 502, {}, message + "\n" };
+    }
+}
+
+Duration part(Duration whole, double share)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
+}
+
+} // namespace
+
+class Gateway::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(IoPool &pool, GatewaySetup setup)
+        : m_pool(pool)
+        , m_setup(std::move(setup))
+        , m_context(pool.context(0), m_setup.topology, m_setup.headers, m_setup.retryPolicy)
+    { }
+
+    void start()
+    {
+        m_context.listAge = [this] { return m_link ? m_link->listAge() : Duration(0); };
+        m_server = HttpServer::listen(
+                       m_pool, m_setup.self.service, callerLimits(),
+                       [weak = weak_from_this()](ServerExchange &exchange) {
+                           return serve(weak.lock(), exchange);
+                       },
+                       faultAnswer)
+                       .value();
+        m_link = EntryLink::start(
+            m_pool.context(0), m_setup.self, m_setup.seeds,
+            { [this](const FleetFeed &feed) { apply(feed); },
+              [this](const TargetList &list, Duration age) { apply(list, age); } });
+        logEvent(LogLevel::Info, "gateway-started",
+                 { { "address", m_setup.self.service.address } });
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<Implementation> self,
+                                       ServerExchange &exchange)
+    {
+        const auto request = std::make_shared<GatewayRequest>(self->m_context, exchange);
+        co_await request->run();
+    }
+
+    void apply(const FleetFeed &feed)
+    {
+        if (feed.configuration && feed.revision != m_revision)
+            applyConfiguration(feed);
+        m_context.setEntryHosts(feed.entryHosts);
+        const std::set<FailureDomainName> evacuated(feed.evacuated.begin(), feed.evacuated.end());
+        if (evacuated != m_evacuated) {
+            m_evacuated = evacuated;
+            m_context.targets().setEvacuated(evacuated, monotonicNow());
+            logEvent(LogLevel::Info, "evacuation-in-force",
+                     { { "domains", evacuated.size() }, { "revision", feed.revision } });
+        }
+        updateReady();
+    }
+
+    void applyConfiguration(const FleetFeed &feed)
+    {
+        try {
+            auto routes = std::make_shared<const RouteTable>(
+                m_setup.decodeConfiguration(*feed.configuration));
+            m_revision = feed.revision;
+            logEvent(LogLevel::Info, "configuration-in-force",
+                     { { "version", routes->version() },
+                       { "revision", feed.revision },
+                       { "routes", routes->rules().routes.size() } });
+            m_context.setRoutes(std::move(routes));
+        } catch (const Error &error) {
+            logEvent(LogLevel::Error, "configuration-unreadable",
+                     { { "revision", feed.revision }, { "reason", error.what() } });
+        }
+    }
+
+    void apply(const TargetList &list, Duration age)
+    {
+        m_context.targets().update(list, age, monotonicNow());
+        std::size_t leaving = 0;
+        for (const auto &it : list.targets)
+            leaving += it.leaving ? 1 : 0;
+        logEvent(LogLevel::Info, "target-list-in-force",
+                 { { "targets", list.targets.size() },
+                   { "leaving", leaving },
+                   { "age_ms", age.count() / 1000 } });
+        updateReady();
+    }
+
+    bool ready() const { return !m_endingSince && m_context.routes() != nullptr && m_hasTargets; }
+
+    void updateReady()
+    {
+        m_hasTargets = m_context.targets().hasList();
+        m_link->setReady(ready());
+    }
+
+    bool continueShutdown()
+    {
+        const Duration passed = monotonicNow() - *m_endingSince;
+        if (passed >= part(m_setup.shutdownGrace, ServeShare))
+            m_server->closeAfterAnswers();
+        if (passed < part(m_setup.shutdownGrace, AcceptShare))
+            return false;
+        m_server->stopAccepting();
+        return m_server->activeRequests() == 0 || passed >= part(m_setup.shutdownGrace, EndShare);
+    }
+
+    IoPool &m_pool;
+    GatewaySetup m_setup;
+    GatewayContext m_context;
+    std::unique_ptr<HttpServer> m_server;
+    std::shared_ptr<EntryLink> m_link;
+    std::set<FailureDomainName> m_evacuated;
+    std::uint64_t m_revision = 0;
+    bool m_hasTargets = false;
+    std::optional<Instant> m_endingSince;
+};
+
+Gateway::Gateway(std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{ }
+
+Gateway::~Gateway() = default;
+
+Result<std::unique_ptr<Gateway>> Gateway::start(IoPool &pool, GatewaySetup setup)
+{
+    try {
+        auto implementation = std::make_shared<Implementation>(pool, std::move(setup));
+        implementation->start();
+        return std::unique_ptr<Gateway>(new Gateway(std::move(implementation)));
+    } catch (const Error &error) {
+        return error;
+    }
+}
+
+bool Gateway::ready() const { return m_implementation->ready(); }
+
+void Gateway::setSeeds(std::vector<Endpoint> seeds)
+{
+    m_implementation->m_link->setSeeds(std::move(seeds));
+}
+
+void Gateway::beginShutdown()
+{
+    m_implementation->m_endingSince = monotonicNow();
+    m_implementation->m_link->setReady(false);
+}
+
+bool Gateway::continueShutdown() { return m_implementation->continueShutdown(); }
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -0,0 +1,67 @@
+#include <ggv/coordination/gateway/gateway_context.hpp>
+
+#include <ggv/transport/net/shared_secret.hpp>
+
+#include <algorithm>
+
+namespace ggv {
+
+namespace {
+
+constexpr std::size_t MaxIdlePerTarget = 24;
+//! Below the idle time after which targets usually close.
+constexpr Duration TargetIdleTimeout = std::chrono::seconds(7);
+//! Part of the budget that is used: the window may slide over more than one refill.
+constexpr double BudgetShare = 0.7;
+
+} // namespace
+
+GatewayContext::GatewayContext(boost::asio::io_context &loop, Topology topology,
+                               ForwardingHeaders headers, const RetryPolicy &retryPolicy)
+    : m_headers(std::move(headers))
+    , m_retryPolicy(retryPolicy)
+    , m_targets(std::move(topology))
+    , m_connections(loop, MaxIdlePerTarget, TargetIdleTimeout)
+    , m_random(randomNumber())
+{ }
+
+void GatewayContext::setRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    m_routes = std::move(routes);
+    m_targets.setRules(m_routes->rules());
+}
+
+void GatewayContext::setEntryHosts(std::size_t count)
+{
+    m_targets.setEntryHosts(count);
+    if (count == m_entryHosts)
+        return;
+    m_entryHosts = std::max<std::size_t>(count, 1);
+}
+
+RetryBudget &GatewayContext::budget(const ServiceName &service)
+{
+    const auto it = m_budgets.find(service);
+    if (it != m_budgets.end())
+        return it->second;
+    const double slack = m_retryPolicy.slack * BudgetShare / static_cast<double>(m_entryHosts);
+    const auto window = std::chrono::duration<double>(m_retryPolicy.window).count();
+    RetryBudgetPolicy policy;
+    policy.ratio = m_retryPolicy.ratio * BudgetShare;
+    // Half of the slack may be saved up, half comes back in the course of a window.
+    policy.burst = std::max(1.0, slack / 2);
+    policy.floorPerSecond = slack / 2 / window;
+    return m_budgets.emplace(service, RetryBudget(policy)).first->second;
+}
+
+void GatewayContext::onRequest(const ServiceName &service, Instant now)
+{
+    budget(service).onRequest(now);
+}
+
+bool GatewayContext::tryRetry(const ServiceName &service, Instant now)
+{
+    return budget(service).tryRetry(now);
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <ggv/coordination/gateway/forwarding_headers.hpp>
+#include <ggv/state/admission/retry_budget.hpp>
+#include <ggv/state/core/random_source.hpp>
+#include <ggv/state/routing/route_table.hpp>
+#include <ggv/state/routing/target_pool.hpp>
+#include <ggv/transport/http/http_client.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace ggv {
+
+//! Limit on repeated sends to the targets of a service, from all hosts together.
+struct RetryPolicy
+{
+    double ratio = 0.2; //!< Of a service's requests.
+    Duration window = std::chrono::seconds(10);
+    double slack = 10.0; //!< In each window, beyond the ratio.
+
+    [[nodiscard]] auto operator<=>(const RetryPolicy &) const noexcept = default;
+};
+
+//! Counts of answers by their cause.
+struct GatewayCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t retries = 0;
+};
+
+/**
+ * @brief What all requests of an entry host share; belongs to one loop.
+ */
+class GatewayContext
+{
+public:
+    GatewayContext(boost::asio::io_context &loop, Topology topology, ForwardingHeaders headers,
+                   const RetryPolicy &retryPolicy);
+
+    //! @return The rules in force, or null before the first ones.
+    [[nodiscard]] const std::shared_ptr<const RouteTable> &routes() const noexcept
+    {
+        return m_routes;
+    }
+    //! Puts rules in force.
+    void setRoutes(std::shared_ptr<const RouteTable> routes);
+    //! Takes in how many entry hosts share targets and budgets.
+    void setEntryHosts(std::size_t count);
+    //! Counts a request for a service.
+    void onRequest(const ServiceName &service, Instant now);
+    //! Asks for one more send of a request and counts it if allowed.
+    [[nodiscard]] bool tryRetry(const ServiceName &service, Instant now);
+
+    [[nodiscard]] TargetPool &targets() noexcept { return m_targets; }
+    [[nodiscard]] HttpClientPool &connections() noexcept { return m_connections; }
+    [[nodiscard]] RandomSource &random() noexcept { return m_random; }
+    [[nodiscard]] const ForwardingHeaders &headers() const noexcept { return m_headers; }
+    [[nodiscard]] GatewayCounters &counters() noexcept { return m_counters; }
+    //! @return Time since the list of targets was read, for logs.
+    std::function<Duration()> listAge = [] { return Duration(0); };
+
+private:
+    [[nodiscard]] RetryBudget &budget(const ServiceName &service);
+
+    ForwardingHeaders m_headers;
+    RetryPolicy m_retryPolicy;
+    TargetPool m_targets;
+    HttpClientPool m_connections;
+    RandomSource m_random;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::map<ServiceName, RetryBudget> m_budgets;
+    std::size_t m_entryHosts = 1;
+    GatewayCounters m_counters;
+};
+
+} // namespace ggv
--- /dev/null
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -0,0 +1,485 @@
+#include <ggv/coordination/gateway/gateway_request.hpp>
+
+#include <ggv/state/log/event_log.hpp>
+#include <ggv/state/routing/target_affinity.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace ggv {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+//! Kept for the way back of the answer.
+constexpr Duration DeadlineMargin = std::chrono::milliseconds(10);
+//! With less time than this, a request is not sent to a target any more.
+constexpr Duration MinimumTargetTime = std::chrono::milliseconds(30);
+//! Answers up to this size are read whole before they are passed on, so that a cut one can be
+//! replaced.
+constexpr std::size_t BufferedAnswerBytes = 64UL * 1024;
+constexpr std::size_t ChunkBytes = 16UL * 1024;
+constexpr std::uint32_t MaxConnectFailures = 3;
+constexpr std::uint16_t StatusNotFound = 404;
+constexpr std::uint16_t StatusMisdirected = 421;
+constexpr std::uint16_t StatusBadGateway = 502;
+constexpr std::uint16_t StatusUnavailable = 503;
+constexpr std::uint16_t StatusGatewayTimeout = 504;
+//! One of so many successes is logged.
+constexpr std::uint64_t SuccessSampling = 64;
+constexpr double RetryAfterJitter = 1.0;
+// Reasons in logs.
+constexpr const char *NoConfiguration = "no-configuration";
+constexpr const char *TargetsFull = "targets-full";
+constexpr const char *NotExecuted = "not-executed";
+
+std::optional<std::int64_t> numberOf(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::optional<std::string_view> cookieOf(const HttpHeaders &headers, std::string_view name)
+{
+    for (const auto &header : headers) {
+        if (!equalsIgnoreCase(header.name, "Cookie"))
+            continue;
+        std::string_view rest = header.value;
+        while (!rest.empty()) {
+            const auto end = rest.find(';');
+            std::string_view pair = rest.substr(0, end);
+            rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+            pair.remove_prefix(std::min(pair.find_first_not_of(' '), pair.size()));
+            if (pair.size() > name.size() && pair.starts_with(name) && pair[name.size()] == '=')
+                return pair.substr(name.size() + 1);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ReportedLoad> parseLoad(std::string_view text)
+{
+    std::array<std::uint32_t, 3> numbers {};
+    for (std::size_t n = 0; n < numbers.size(); ++n) {
+        const auto end = text.find(',');
+        const auto number = numberOf(text.substr(0, end));
+        if (!number || *number < 0)
+            return std::nullopt;
+        numbers.at(n) = static_cast<std::uint32_t>(*number);
+        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    }
+    return ReportedLoad { numbers[0], numbers[1], numbers[2] };
+}
+
+HttpAnswer textAnswer(std::uint16_t status, const char *text)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.body = text;
+    return answer;
+}
+
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> text {};
+    (void)std::snprintf(text.data(), text.size(), "%.3f",
+                        std::chrono::duration<double>(duration).count());
+    return text.data();
+}
+
+} // namespace
+
+GatewayRequest::GatewayRequest(GatewayContext &context, ServerExchange &caller)
+    : m_context(context)
+    , m_caller(caller)
+    , m_startedAt(monotonicNow())
+    , m_routes(context.routes())
+{
+    if (const auto *id = findHeader(caller.head().headers, context.headers().requestId))
+        m_requestId = *id;
+}
+
+bool GatewayRequest::idempotent() const { return m_route->kind == RequestKind::Idempotent; }
+
+Duration GatewayRequest::timeLeft() const { return m_deadline - monotonicNow(); }
+
+asio::awaitable<void> GatewayRequest::run()
+{
+    ++m_context.counters().requests;
+    if (!m_routes) {
+        co_await refuse(StatusUnavailable, NoConfiguration);
+        co_return;
+    }
+    if (!plan()) {
+        logEnd(LogLevel::Warning, "request-refused", StatusNotFound, "no-route");
+        HttpAnswer answer = textAnswer(StatusNotFound, "no route\n");
+        co_await m_caller.answer(std::move(answer));
+        co_return;
+    }
+    if (!co_await receiveBody())
+        co_return;
+    co_await forward();
+}
+
+bool GatewayRequest::plan()
+{
+    const auto &head = m_caller.head();
+    const auto *host = findHeader(head.headers, "Host");
+    m_route = m_routes->find(host == nullptr ? "" : *host, head.target);
+    if (m_route == nullptr)
+        return false;
+    Duration time = m_route->timeout;
+    if (const auto *text = findHeader(head.headers, m_context.headers().deadline)) {
+        if (const auto millis = numberOf(*text); millis && *millis > 0)
+            time = std::min<Duration>(time, std::chrono::milliseconds(*millis));
+    }
+    m_deadline = m_startedAt + time - DeadlineMargin;
+    m_demand.route = m_route;
+    m_demand.service = chooseService(*m_route, uniformFraction(m_context.random()));
+    if (const auto object = cookieOf(head.headers, m_context.headers().objectCookie))
+        m_demand.object = affinityDigest(*object);
+    return true;
+}
+
+asio::awaitable<bool> GatewayRequest::receiveBody()
+{
+    const auto &head = m_caller.head();
+    if (head.hasBody()) {
+        m_caller.limitBody(m_routes->rules().limits.maxBodyBytes);
+        m_body.reserve(static_cast<std::size_t>(
+            std::min<std::uint64_t>(head.contentLength.value_or(0), BufferedAnswerBytes)));
+        std::array<std::uint8_t, ChunkBytes> chunk;
+        while (const std::size_t n = co_await m_caller.readBody(chunk))
+            m_body.insert(m_body.end(), chunk.begin(),
+                          chunk.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+    m_caller.watchCaller([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerGone();
+    });
+    co_return true;
+}
+
+void GatewayRequest::callerGone()
+{
+    *m_callerGone = true;
+    if (m_exchange)
+        m_exchange->cancel();
+}
+
+asio::awaitable<void> GatewayRequest::forward()
+{
+    m_context.onRequest(m_demand.service, m_startedAt);
+    while (true) {
+        const auto end = co_await attempt();
+        if (!mayTryAgain(end)) {
+            co_await conclude(end);
+            co_return;
+        }
+        noteRetry(end);
+    }
+}
+
+void GatewayRequest::noteRetry(AttemptEnd end) const
+{
+    ++m_context.counters().retries;
+    logEvent(LogLevel::Info, "request-retried",
+             { { "request", m_requestId },
+               { "service", m_demand.service.text() },
+               { "sends", m_sends },
+               { "end", static_cast<int>(end) } });
+}
+
+bool GatewayRequest::mayTryAgain(AttemptEnd end)
+{
+    if (*m_callerGone || timeLeft() < MinimumTargetTime)
+        return false;
+    switch (end) {
+    case AttemptEnd::NotConnected:
+        return m_choice.target != nullptr && ++m_connectFailures < MaxConnectFailures;
+    case AttemptEnd::NotExecuted:
+        break;
+    case AttemptEnd::Failed:
+    case AttemptEnd::Lost:
+        if (!idempotent())
+            return false;
+        break;
+    default:
+        return false;
+    }
+    return m_sends < m_route->maxAttempts && m_context.tryRetry(m_demand.service, monotonicNow());
+}
+
+asio::awaitable<GatewayRequest::AttemptEnd> GatewayRequest::attempt()
+{
+    const Instant now = monotonicNow();
+    if (*m_callerGone)
+        co_return AttemptEnd::CallerGone;
+    if (timeLeft() < MinimumTargetTime)
+        co_return m_mayHaveRun ? AttemptEnd::DeadlinePassed : AttemptEnd::NotExecuted;
+    m_choice = m_context.targets().choose(m_demand, now, m_context.random());
+    if (!m_choice.target)
+        co_return AttemptEnd::NotConnected;
+    m_demand.tried.insert(m_choice.target->listing().instance);
+    m_sentAt = now;
+    const Instant connectBy = std::min(m_deadline, now + ConnectTimeout);
+    std::optional<Error> fault;
+    try {
+        m_exchange = co_await m_context.connections().open(m_choice.target->listing().endpoint,
+                                                           false, connectBy);
+    } catch (const Error &error) {
+        fault = error;
+    }
+    if (fault) {
+        co_return unreachable(*fault);
+    }
+    co_return co_await exchange();
+}
+
+GatewayRequest::AttemptEnd GatewayRequest::unreachable(const Error &error)
+{
+    logEvent(LogLevel::Warning, "target-unreachable",
+             { { "request", m_requestId },
+               { "target", m_choice.target->listing().instance },
+               { "reason", error.what() } });
+    m_context.targets().observeRestart(*m_choice.target, monotonicNow());
+    endAttempt(TargetOutcome::Refused, false);
+    return AttemptEnd::NotConnected;
+}
+
+HttpRequestHead GatewayRequest::forwardedHead() const
+{
+    const auto &names = m_context.headers();
+    HttpRequestHead head;
+    head.method = m_caller.head().method;
+    head.target = m_caller.head().target;
+    for (const auto &header : m_caller.head().headers) {
+        const bool own = equalsIgnoreCase(header.name, names.deadline)
+            || equalsIgnoreCase(header.name, names.targetInstance)
+            || equalsIgnoreCase(header.name, "Expect");
+        if (!own)
+            head.headers.push_back(header);
+    }
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft()).count();
+    head.headers.push_back({ names.deadline, std::to_string(std::max<std::int64_t>(millis, 1)) });
+    head.headers.push_back({ names.targetInstance, m_choice.target->listing().instance });
+    if (m_caller.head().hasBody())
+        head.contentLength = m_body.size();
+    return head;
+}
+
+asio::awaitable<GatewayRequest::AttemptEnd> GatewayRequest::exchange()
+{
+    ++m_sends;
+    std::optional<Error> fault;
+    try {
+        // The caller may have left while the connection was opened.
+        if (*m_callerGone)
+            throw Error(ResultCode::CallerCancelled, "caller is gone");
+        const HttpRequestHead head = forwardedHead();
+        co_await m_exchange->sendHead(head, m_deadline);
+        if (!m_body.empty())
+            co_await m_exchange->sendBody(m_body, m_deadline);
+        co_await m_exchange->finishRequest(m_deadline);
+        co_return co_await readAnswer();
+    } catch (const Error &error) {
+        fault = error;
+    }
+    co_return failed(*fault);
+}
+
+GatewayRequest::AttemptEnd GatewayRequest::failed(const Error &error)
+{
+    m_mayHaveRun = m_mayHaveRun || m_exchange == nullptr || m_exchange->requestStarted();
+    logEvent(LogLevel::Warning, "attempt-failed",
+             { { "request", m_requestId },
+               { "target", m_choice.target ? m_choice.target->listing().instance : "" },
+               { "code", std::string(resultCodeName(error.code())) },
+               { "reason", error.what() },
+               { "reused", m_exchange != nullptr && m_exchange->reused() },
+               { "after_ms", (monotonicNow() - m_sentAt).count() / 1000 } });
+    if (error.code() == ResultCode::CallerCancelled || *m_callerGone) {
+        *m_callerGone = true;
+        endAttempt(std::nullopt, false);
+        return AttemptEnd::CallerGone;
+    }
+    if (error.code() == ResultCode::PeerSilent) {
+        m_context.connections().retire(m_choice.target->listing().endpoint);
+        endAttempt(TargetOutcome::TimedOut, false);
+        return AttemptEnd::DeadlinePassed;
+    }
+    endAttempt(TargetOutcome::Reset, false);
+    return AttemptEnd::Lost;
+}
+
+void GatewayRequest::readLoad(const HttpAnswerHead &head)
+{
+    const auto *text = findHeader(head.headers, m_context.headers().targetLoad);
+    if (text == nullptr)
+        return;
+    if (const auto load = parseLoad(*text))
+        m_context.targets().observeLoad(*m_choice.target, *load, monotonicNow());
+}
+
+// Decides whether an answer is one to this request, and what it says.
+GatewayRequest::AttemptEnd GatewayRequest::judgeHead(const HttpAnswerHead &head)
+{
+    const auto &names = m_context.headers();
+    if (head.status == StatusMisdirected) {
+        m_context.targets().observeReplaced(*m_choice.target, monotonicNow());
+        return AttemptEnd::NotExecuted;
+    }
+    if (findHeader(head.headers, names.notExecuted) != nullptr)
+        return AttemptEnd::NotExecuted;
+    const auto *id = findHeader(head.headers, names.requestId);
+    if (!m_requestId.empty() && (id == nullptr || *id != m_requestId))
+        throw Error(ResultCode::ProtocolViolation, "answer belongs to another request");
+    const bool success = head.status >= 200 && head.status < 300;
+    if (success && findHeader(head.headers, names.answerSeal) == nullptr)
+        throw Error(ResultCode::ProtocolViolation, "answer without the target's seal");
+    return head.status >= 500 ? AttemptEnd::Failed : AttemptEnd::Answered;
+}
+
+asio::awaitable<GatewayRequest::AttemptEnd> GatewayRequest::readAnswer()
+{
+    HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
+    readLoad(head);
+    const auto end = judgeHead(head);
+    if (end == AttemptEnd::NotExecuted) {
+        std::array<std::uint8_t, ChunkBytes> chunk;
+        while (co_await m_exchange->readBody(chunk, m_deadline) > 0) { }
+        endAttempt(TargetOutcome::Overloaded, true);
+        co_return end;
+    }
+    m_mayHaveRun = true;
+    co_return co_await passAnswer(std::move(head));
+}
+
+asio::awaitable<GatewayRequest::AttemptEnd> GatewayRequest::passAnswer(HttpAnswerHead head)
+{
+    Bytes buffered;
+    bool whole = false;
+    std::array<std::uint8_t, ChunkBytes> chunk;
+    while (!whole && buffered.size() < BufferedAnswerBytes) {
+        const std::size_t n = co_await m_exchange->readBody(chunk, m_deadline);
+        buffered.insert(buffered.end(), chunk.begin(),
+                        chunk.begin() + static_cast<std::ptrdiff_t>(n));
+        whole = n == 0;
+    }
+    if (whole) {
+        if (!head.noBody)
+            head.contentLength = buffered.size();
+        const bool isFailure = head.status >= 500;
+        endAttempt(isFailure ? TargetOutcome::Reset : TargetOutcome::Success, true);
+        m_kept.emplace(std::move(head), std::move(buffered));
+        co_return isFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
+    }
+    co_await m_caller.startAnswer(head);
+    co_await m_caller.writeBody(buffered);
+    while (const std::size_t n = co_await m_exchange->readBody(chunk, m_deadline))
+        co_await m_caller.writeBody(std::span(chunk).first(n));
+    endAttempt(TargetOutcome::Success, true);
+    co_await m_caller.finishAnswer();
+    co_return AttemptEnd::Answered;
+}
+
+void GatewayRequest::endAttempt(std::optional<TargetOutcome> outcome, bool reusable)
+{
+    if (m_choice.target)
+        m_context.targets().finish(*m_choice.target, outcome, m_sentAt, monotonicNow());
+    if (m_exchange && reusable)
+        m_context.connections().giveBack(std::move(m_exchange));
+    m_exchange.reset();
+}
+
+asio::awaitable<void> GatewayRequest::passKept()
+{
+    const auto &[head, body] = *m_kept;
+    co_await m_caller.startAnswer(head);
+    if (!body.empty())
+        co_await m_caller.writeBody(body);
+    co_await m_caller.finishAnswer();
+}
+
+asio::awaitable<void> GatewayRequest::conclude(AttemptEnd end)
+{
+    if (end == AttemptEnd::CallerGone || *m_callerGone) {
+        logEnd(LogLevel::Info, "request-abandoned", 0, "caller-gone");
+        m_caller.abort();
+        co_return;
+    }
+    if (m_caller.answerStarted()) {
+        if (end != AttemptEnd::Answered) {
+            ++m_context.counters().failed;
+            logEnd(LogLevel::Warning, "request-failed", 0, "answer-cut");
+            m_caller.abort();
+        }
+        co_return;
+    }
+    if (m_kept) {
+        const auto status = m_kept->first.status;
+        // A promise that the request has not run is not true of this answer.
+        const bool promise = status == StatusUnavailable || status == 429 || status == 408;
+        if (!promise) {
+            ++m_context.counters().served;
+            if (status >= 400)
+                logEnd(LogLevel::Warning, "request-answered", status, "target-failed");
+            else if (m_context.counters().served % SuccessSampling == 0)
+                logEnd(LogLevel::Info, "request-answered", status, "sampled");
+            co_await passKept();
+            co_return;
+        }
+    }
+    if (!m_mayHaveRun) {
+        const bool full = m_choice.target == nullptr && m_choice.reason == NoTarget::AllFull;
+        co_await refuse(StatusUnavailable, full ? TargetsFull : NotExecuted);
+        co_return;
+    }
+    const bool late = end == AttemptEnd::DeadlinePassed;
+    ++m_context.counters().failed;
+    const std::uint16_t status = late ? StatusGatewayTimeout : StatusBadGateway;
+    logEnd(LogLevel::Warning, "request-failed", status, late ? "deadline-passed" : "target-lost");
+    HttpAnswer answer = textAnswer(status, "the request may have run\n");
+    co_await m_caller.answer(std::move(answer));
+}
+
+asio::awaitable<void> GatewayRequest::refuse(std::uint16_t status, const char *reason)
+{
+    ++m_context.counters().refused;
+    logEnd(LogLevel::Warning, "request-refused", status, reason);
+    const Duration base = m_context.targets().retryAfter(m_demand.service);
+    const double factor = 1.0 + RetryAfterJitter * uniformFraction(m_context.random());
+    const Duration wait(static_cast<Duration::rep>(static_cast<double>(base.count()) * factor));
+    HttpAnswer answer = textAnswer(status, "the request has not run\n");
+    answer.headers.push_back(HttpHeader { "Retry-After", secondsText(wait) });
+    co_await m_caller.answer(std::move(answer));
+}
+
+void GatewayRequest::logEnd(LogLevel level, const char *event, std::uint16_t status,
+                            const char *reason) const
+{
+    const auto *target = m_choice.target.get();
+    logEvent(level, event,
+             { { "request", m_requestId },
+               { "status", status },
+               { "reason", reason },
+               { "route", m_route == nullptr ? "" : m_route->name },
+               { "service", m_demand.service.text() },
+               { "target", target == nullptr ? "" : target->listing().instance },
+               { "load", m_choice.load },
+               { "rank", m_choice.rank },
+               { "sends", m_sends },
+               { "may_have_run", m_mayHaveRun },
+               { "version", m_routes ? m_routes->version() : 0 },
+               { "list_age_ms", m_context.listAge().count() / 1000 },
+               { "elapsed_ms", (monotonicNow() - m_startedAt).count() / 1000 } });
+}
+
+} // namespace ggv
--- a/packages/greengagevalved/main.cpp
+++ b/packages/greengagevalved/main.cpp
@@ -1,5 +1,6 @@
 #include <ggv/coordination/node/node.hpp>
 #include <ggv/coordination/version.hpp>
+#include <ggv/platform/platform_process.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -15,6 +16,8 @@
 
 namespace {
 
+//! Environment variable with the path of the platform's settings.
+constexpr const char *SettingsVariable = "GREENGAGEVALVE_CONFIG";
 constexpr int ExitUsage = 2;
 constexpr int ExitStart = 3;
 constexpr int ExitSecondSignal = 4;
@@ -24,6 +27,7 @@
 struct Arguments
 {
     std::string settingsPath;
+    bool onPlatform = false;
     bool initialize = false;
     bool checkOnly = false;
     bool showVersion = false;
@@ -33,11 +37,16 @@
 bool parseArguments(int argc, const char **argv, Arguments &arguments)
 {
     char *settings = nullptr;
+    int onPlatform = 0;
     int initialize = 0;
     int check = 0;
     int version = 0;
     const poptOption options[]
         = { { "settings", 's', POPT_ARG_STRING, &settings, 0, "Settings file", "FILE" },
+            { "platform", 0, POPT_ARG_NONE, &onPlatform, 0,
+              "The settings have the platform's format; without --settings, "
+              "GREENGAGEVALVE_CONFIG holds their path",
+              nullptr },
             { "initialize", 0, POPT_ARG_NONE, &initialize, 0,
               "Create a new cluster: only for the very first start of its hosts", nullptr },
             { "check", 0, POPT_ARG_NONE, &check, 0, "Check the settings and exit", nullptr },
@@ -50,7 +59,13 @@
         std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << "\n";
     else if (surplus)
         std::cerr << "unexpected argument " << poptPeekArg(context) << "\n";
-    arguments = { settings == nullptr ? "" : settings, initialize != 0, check != 0, version != 0 };
+    const char *fallback = onPlatform != 0 ? std::getenv(SettingsVariable) : nullptr;
+    if (settings != nullptr)
+        arguments.settingsPath = settings;
+    else if (fallback != nullptr)
+        arguments.settingsPath = fallback;
+    arguments
+        = { arguments.settingsPath, onPlatform != 0, initialize != 0, check != 0, version != 0 };
     poptFreeContext(context);
     std::free(settings); // NOLINT: allocated by popt.
     if (status < -1 || surplus)
@@ -113,6 +128,9 @@
 
 int serve(const Arguments &arguments)
 {
+    if (arguments.onPlatform)
+        return arguments.checkOnly ? ggv::platform::checkPlatformSettings(arguments.settingsPath)
+                                   : ggv::platform::runPlatformProcess(arguments.settingsPath);
     auto settings = ggv::loadSettings(arguments.settingsPath);
     if (!settings) {
         std::cerr << arguments.settingsPath << ":\n" << settings.error().what() << "\n";
--- /dev/null
+++ b/packages/protocol/ggv/protocol/codec/fleet_codec.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <ggv/protocol/message/fleet_message.hpp>
+#include <ggv/state/storage/disk.hpp>
+
+namespace ggv {
+
+//! @return msgpack bytes of a message between hosts of the fleet.
+[[nodiscard]] Bytes encodeFleetMessage(const FleetMessage &message);
+//! @return The message. @throws Error ProtocolViolation.
+[[nodiscard]] FleetMessage decodeFleetMessage(ByteView bytes);
+
+//! @return msgpack bytes of a replicated command.
+[[nodiscard]] Bytes encodeFleetCommand(const FleetCommand &command);
+//! @return The command. @throws Error ProtocolViolation.
+[[nodiscard]] FleetCommand decodeFleetCommand(ByteView bytes);
+
+//! @return msgpack bytes of the answer to a command.
+[[nodiscard]] Bytes encodeFleetCommandAnswer(const FleetCommandAnswer &answer);
+//! @return The answer. @throws Error ProtocolViolation.
+[[nodiscard]] FleetCommandAnswer decodeFleetCommandAnswer(ByteView bytes);
+
+//! @return msgpack bytes of the replicated state.
+[[nodiscard]] Bytes encodeFleetState(const FleetState &state);
+//! @return The state. @throws Error ProtocolViolation.
+[[nodiscard]] FleetState decodeFleetState(ByteView bytes);
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/routing/fwd.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace ggv {
+
+struct Route;
+struct WeightedService;
+struct ServicePolicy;
+struct CallerLimits;
+class RouteTable;
+struct ListedTarget;
+class TargetPool;
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -0,0 +1,277 @@
+#include <ggv/state/routing/target_pool.hpp>
+
+#include <ggv/state/routing/target_affinity.hpp>
+
+#include <algorithm>
+
+namespace ggv {
+
+namespace {
+
+//! Share of objects of a target in the own failure domain or region, relative to one elsewhere.
+constexpr double OwnDomainWeight = 24.0;
+constexpr double OwnRegionWeight = 10.0;
+//! Load over slots up to which a target is taken in the order of affinity.
+constexpr double FreeLoadShare = 1.0;
+//! Load over slots up to which the most important requests queue at a target.
+constexpr double QueuedLoadShare = 2.0;
+//! Each step of priority gives up this much of the queue.
+constexpr double QueueSharePerPriority = 0.35;
+//! A report of other hosts' load counts in full for this long, then fades.
+constexpr Duration ReportFreshness = std::chrono::milliseconds(500);
+//! More targets of a service than this share are not held back for failures.
+constexpr double MaxDownShare = 0.5;
+//! A cold target's unused rate is kept for this long.
+constexpr double ColdBurstSeconds = 0.25;
+//! Time that a refused caller should wait for a slot.
+constexpr Duration FullRetryAfter = std::chrono::milliseconds(400);
+
+HealthPolicy healthPolicy()
+{
+    HealthPolicy policy;
+    policy.maximumBackoff = std::chrono::seconds(8);
+    return policy;
+}
+
+} // namespace
+
+RegionName Topology::regionOf(const FailureDomainName &domain) const
+{
+    const auto it = regions.find(domain);
+    return it == regions.end() ? RegionName() : it->second;
+}
+
+PooledTarget::PooledTarget(ListedTarget listing, RegionName region)
+    : m_listing(std::move(listing))
+    , m_region(std::move(region))
+    , m_digest(affinityDigest(m_listing.instance))
+    , m_health(TargetHealth::warm(healthPolicy()))
+{ }
+
+double PooledTarget::load(Instant now) const noexcept
+{
+    double others = m_othersLoad;
+    if (m_reportedAt == Instant::min())
+        others = 0.0;
+    else if (const Duration age = now - m_reportedAt; age > ReportFreshness)
+        others
+            *= std::chrono::duration<double>(ReportFreshness) / std::chrono::duration<double>(age);
+    return m_inFlight + others;
+}
+
+TargetPool::TargetPool(Topology topology)
+    : m_topology(std::move(topology))
+{ }
+
+void TargetPool::learnCold(PooledTarget &target, Duration coldFor, Instant now) const
+{
+    if (coldFor <= Duration(0))
+        return;
+    target.m_coldUntil = std::max(target.m_coldUntil, now + coldFor);
+}
+
+void TargetPool::update(const TargetList &list, Duration age, Instant now)
+{
+    m_hasList = true;
+    std::map<std::string, PooledTargetRef> byInstance;
+    std::map<ServiceName, Candidates> services;
+    for (const auto &listing : list.targets) {
+        auto known = m_byInstance.find(listing.instance);
+        const bool same = known != m_byInstance.end()
+            && known->second->m_listing.endpoint == listing.endpoint
+            && known->second->m_listing.service == listing.service;
+        const PooledTargetRef target = same
+            ? known->second
+            : std::make_shared<PooledTarget>(listing, m_topology.regionOf(listing.domain));
+        const bool wasLeaving = same && target->m_listing.leaving;
+        target->m_listing = listing;
+        target->m_listing.leaving = listing.leaving || wasLeaving;
+        learnCold(*target, listing.coldFor - age, now);
+        byInstance[listing.instance] = target;
+        services[listing.service].push_back(target);
+    }
+    m_byInstance = std::move(byInstance);
+    m_services = std::move(services);
+}
+
+void TargetPool::setRules(const RouteRules &rules) { m_policies = rules.services; }
+
+void TargetPool::setEntryHosts(std::size_t count) noexcept
+{
+    m_entryHosts = std::max<std::size_t>(count, 1);
+}
+
+void TargetPool::setEvacuated(const std::set<FailureDomainName> &domains, Instant now)
+{
+    for (const auto &domain : m_evacuated) {
+        if (domains.contains(domain))
+            continue;
+        for (const auto &[instance, target] : m_byInstance) {
+            if (target->m_listing.domain == domain)
+                observeRestart(*target, now);
+        }
+    }
+    m_evacuated = domains;
+}
+
+bool TargetPool::mayServe(const PooledTarget &target, const TargetDemand &demand, Instant now) const
+{
+    if (target.m_listing.leaving || target.m_replaced
+        || m_evacuated.contains(target.m_listing.domain))
+        return false;
+    if (demand.tried.contains(target.m_listing.instance))
+        return false;
+    const auto &homes = demand.route->homes;
+    if (!homes.empty() && std::find(homes.begin(), homes.end(), target.m_region) == homes.end())
+        return false;
+    (void)now;
+    return true;
+}
+
+bool TargetPool::isHealthy(const PooledTarget &target, Instant now) const
+{
+    return target.m_health.state(now) != HealthState::Down;
+}
+
+double TargetPool::localWeight(const PooledTarget &target) const
+{
+    const double slots = target.m_listing.slots;
+    if (target.m_listing.domain == m_topology.ownDomain)
+        return slots * OwnDomainWeight;
+    if (target.m_region == m_topology.regionOf(m_topology.ownDomain))
+        return slots * OwnRegionWeight;
+    return slots;
+}
+
+std::vector<TargetPool::Ranked> TargetPool::rank(const TargetDemand &demand, Instant now,
+                                                 RandomSource &random) const
+{
+    std::vector<Ranked> ranked;
+    const auto service = m_services.find(demand.service);
+    if (service == m_services.end())
+        return ranked;
+    const bool sticky = demand.route->sticky && demand.object.has_value();
+    const std::uint64_t object = sticky ? *demand.object : random();
+    std::size_t down = 0;
+    std::size_t usable = 0;
+    for (const auto &target : service->second) {
+        if (!mayServe(*target, demand, now))
+            continue;
+        ++usable;
+        if (!isHealthy(*target, now)) {
+            ++down;
+            continue;
+        }
+        ranked.push_back({ rankTarget(object, target->m_digest, localWeight(*target)), target });
+    }
+    const bool panic = static_cast<double>(down) > MaxDownShare * static_cast<double>(usable);
+    if (panic) {
+        ranked.clear();
+        for (const auto &target : service->second) {
+            if (mayServe(*target, demand, now))
+                ranked.push_back(
+                    { rankTarget(object, target->m_digest, localWeight(*target)), target });
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const Ranked &one, const Ranked &other) { return one.rank < other.rank; });
+    return ranked;
+}
+
+bool TargetPool::takeColdToken(PooledTarget &target, Instant now)
+{
+    if (now >= target.m_coldUntil)
+        return true;
+    const auto policy = m_policies.find(target.m_listing.service);
+    const double rate = policy == m_policies.end() ? 0.0 : policy->second.coldRequestsPerSecond;
+    if (rate <= 0.0)
+        return true;
+    const double share = rate / static_cast<double>(m_entryHosts);
+    const double burst = std::max(1.0, share * ColdBurstSeconds);
+    if (target.m_coldRefilledAt == Instant::min()) {
+        target.m_coldTokens = 0.0;
+        target.m_coldRefilledAt = now;
+    }
+    const auto elapsed = std::chrono::duration<double>(now - target.m_coldRefilledAt);
+    target.m_coldTokens = std::min(burst, target.m_coldTokens + elapsed.count() * share);
+    target.m_coldRefilledAt = now;
+    if (target.m_coldTokens < 1.0)
+        return false;
+    target.m_coldTokens -= 1.0;
+    return true;
+}
+
+TargetChoice TargetPool::choose(const TargetDemand &demand, Instant now, RandomSource &random)
+{
+    const auto ranked = rank(demand, now, random);
+    TargetChoice choice;
+    if (ranked.empty())
+        return choice;
+    choice.reason = NoTarget::AllFull;
+    const double queued
+        = std::max(FreeLoadShare, QueuedLoadShare - QueueSharePerPriority * demand.route->priority);
+    std::uint32_t position = 0;
+    for (const auto &[rank, target] : ranked) {
+        const double load = target->load(now);
+        if (load < target->m_listing.slots * FreeLoadShare && takeColdToken(*target, now)) {
+            ++target->m_inFlight;
+            return { target, {}, load, position };
+        }
+        ++position;
+    }
+    const Ranked *best = nullptr;
+    double bestShare = queued;
+    for (const auto &it : ranked) {
+        const double share = it.target->load(now) / it.target->m_listing.slots;
+        if (share < bestShare && now >= it.target->m_coldUntil) {
+            best = &it;
+            bestShare = share;
+        }
+    }
+    if (best == nullptr)
+        return choice;
+    const double load = best->target->load(now);
+    ++best->target->m_inFlight;
+    return { best->target, {}, load, position };
+}
+
+void TargetPool::finish(PooledTarget &target, std::optional<TargetOutcome> outcome, Instant sentAt,
+                        Instant now)
+{
+    if (target.m_inFlight > 0)
+        --target.m_inFlight;
+    if (outcome)
+        target.m_health.observeRequest(*outcome, sentAt, now);
+}
+
+void TargetPool::observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now)
+{
+    const double total = load.running + load.waiting;
+    // The request that carried the report is still counted in flight here, and no more there.
+    const double own = target.m_inFlight > 0 ? target.m_inFlight - 1.0 : 0.0;
+    target.m_othersLoad = std::max(0.0, total - own);
+    target.m_reportedAt = now;
+    if (load.slots > 0)
+        target.m_listing.slots = load.slots;
+}
+
+void TargetPool::observeReplaced(PooledTarget &target, Instant) { target.m_replaced = true; }
+
+void TargetPool::observeRestart(PooledTarget &target, Instant now)
+{
+    const auto policy = m_policies.find(target.m_listing.service);
+    if (policy != m_policies.end())
+        learnCold(target, policy->second.coldStart, now);
+}
+
+Duration TargetPool::retryAfter(const ServiceName &) const noexcept { return FullRetryAfter; }
+
+std::vector<PooledTargetRef> TargetPool::targets() const
+{
+    std::vector<PooledTargetRef> all;
+    for (const auto &[instance, target] : m_byInstance)
+        all.push_back(target);
+    return all;
+}
+
+} // namespace ggv
--- /dev/null
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <ggv/state/core/random_source.hpp>
+#include <ggv/state/health/target_health.hpp>
+#include <ggv/state/routing/listed_target.hpp>
+#include <ggv/state/routing/route_table.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ggv {
+
+//! Where a host is, and which region each failure domain belongs to.
+struct Topology
+{
+    FailureDomainName ownDomain;
+    std::map<FailureDomainName, RegionName> regions; //!< Region of each failure domain.
+
+    //! @return Region of a failure domain; empty if it is not known.
+    [[nodiscard]] RegionName regionOf(const FailureDomainName &domain) const;
+};
+
+//! Load that a target reported with an answer.
+struct ReportedLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+
+    [[nodiscard]] auto operator<=>(const ReportedLoad &) const noexcept = default;
+};
+
+//! What one entry host knows of one target.
+class PooledTarget
+{
+public:
+    PooledTarget(ListedTarget listing, RegionName region);
+
+    //! @return The newest listing.
+    [[nodiscard]] const ListedTarget &listing() const noexcept { return m_listing; }
+    //! @return Region of the target.
+    [[nodiscard]] const RegionName &region() const noexcept { return m_region; }
+    //! @return Requests of this host in flight.
+    [[nodiscard]] std::uint32_t inFlight() const noexcept { return m_inFlight; }
+    //! @return Requests of all hosts that the target is thought to execute or queue.
+    [[nodiscard]] double load(Instant now) const noexcept;
+
+private:
+    friend class TargetPool;
+
+    ListedTarget m_listing;
+    RegionName m_region;
+    std::uint64_t m_digest = 0;
+    TargetHealth m_health;
+    std::uint32_t m_inFlight = 0;
+    double m_othersLoad = 0.0; //!< Requests of other hosts, by the newest report.
+    Instant m_reportedAt = Instant::min();
+    bool m_replaced = false; //!< Another instance answered at its address.
+    Instant m_coldUntil = Instant::min();
+    double m_coldTokens = 0.0;
+    Instant m_coldRefilledAt = Instant::min();
+};
+
+using PooledTargetRef = std::shared_ptr<PooledTarget>;
+
+//! What a request needs of its target.
+struct TargetDemand
+{
+    const Route *route = nullptr;
+    ServiceName service;
+    std::optional<std::uint64_t> object; //!< Digest of the object, for affinity.
+    std::set<std::string> tried; //!< Instances that must not be chosen again.
+};
+
+//! Why no target was chosen.
+enum class NoTarget : std::uint8_t {
+    NoneListed, //!< The service has no target that may serve the request at all.
+    AllFull,
+};
+
+//! What became of a choice.
+struct TargetChoice
+{
+    PooledTargetRef target; //!< Null if none was chosen.
+    NoTarget reason = NoTarget::NoneListed; //!< Only if there is no target.
+    double load = 0.0; //!< Load of the target when it was chosen.
+    std::uint32_t rank = 0; //!< Targets that were preferred but could not take it.
+};
+
+/**
+ * @brief Chooses targets on one entry host: affinity bounded by load, cold rates, health, drains.
+ *
+ * Pure: explicit instants, no input or output. Used by one thread.
+ */
+class TargetPool
+{
+public:
+    //! @param topology Where this host is. @param coldRateSlack Requests per second that a cold
+    //! target bears beyond its rate, from all hosts together.
+    explicit TargetPool(Topology topology);
+
+    /**
+     * @brief Takes in a newer reading of the platform's list.
+     * @param list The reading. @param age Time since it was read. @param now Current time.
+     */
+    void update(const TargetList &list, Duration age, Instant now);
+    //! Takes in what the operators say of services.
+    void setRules(const RouteRules &rules);
+    //! Takes in how many entry hosts share the targets; at least 1.
+    void setEntryHosts(std::size_t count) noexcept;
+    //! Takes in the failure domains whose targets get no requests.
+    void setEvacuated(const std::set<FailureDomainName> &domains, Instant now);
+
+    //! Chooses a target and counts a request in flight to it.
+    [[nodiscard]] TargetChoice choose(const TargetDemand &demand, Instant now,
+                                      RandomSource &random);
+    //! Ends a request in flight. @param outcome How it ended; nothing: it says nothing of health.
+    void finish(PooledTarget &target, std::optional<TargetOutcome> outcome, Instant sentAt,
+                Instant now);
+    //! Takes in the load that came with an answer.
+    void observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now);
+    //! Another instance answered at the target's address: it gets nothing until it is listed anew.
+    void observeReplaced(PooledTarget &target, Instant now);
+    //! The target may have restarted: it counts as cold until the platform's list says otherwise.
+    void observeRestart(PooledTarget &target, Instant now);
+
+    //! @return Expected time until the service can take a request again.
+    [[nodiscard]] Duration retryAfter(const ServiceName &service) const noexcept;
+    //! @return True once a list was taken in.
+    [[nodiscard]] bool hasList() const noexcept { return m_hasList; }
+    //! @return All known targets.
+    [[nodiscard]] std::vector<PooledTargetRef> targets() const;
+
+private:
+    using Candidates = std::vector<PooledTargetRef>;
+
+    struct Ranked
+    {
+        double rank = 0.0;
+        PooledTargetRef target;
+    };
+
+    [[nodiscard]] bool mayServe(const PooledTarget &target, const TargetDemand &demand,
+                                Instant now) const;
+    [[nodiscard]] bool isHealthy(const PooledTarget &target, Instant now) const;
+    [[nodiscard]] double localWeight(const PooledTarget &target) const;
+    [[nodiscard]] std::vector<Ranked> rank(const TargetDemand &demand, Instant now,
+                                           RandomSource &random) const;
+    [[nodiscard]] bool takeColdToken(PooledTarget &target, Instant now);
+    void learnCold(PooledTarget &target, Duration coldFor, Instant now) const;
+
+    Topology m_topology;
+    std::map<ServiceName, Candidates> m_services;
+    std::map<std::string, PooledTargetRef> m_byInstance;
+    std::map<ServiceName, ServicePolicy> m_policies;
+    std::set<FailureDomainName> m_evacuated;
+    std::size_t m_entryHosts = 1;
+    bool m_hasList = false;
+};
+
+} // namespace ggv
