Send an object to the target that knows it, and wait for it rather than spill

Cause: entry hosts of one region ranked targets differently (own failure domain counted), and a full target spilled its objects to cold ones, which take three times as long: at the start all targets were full and stayed so. Ruled out: too little capacity (warm, the sheets' load takes 40% of the slots); processor time (0.02 cores of 0.2).

Now all hosts of a region rank alike, targets are chosen by expected wait plus service time, and the service times of known and unknown objects are learnt.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -224,7 +224,7 @@
         co_return AttemptEnd::CallerGone;
     if (timeLeft() < MinimumTargetTime)
         co_return m_mayHaveRun ? AttemptEnd::DeadlinePassed : AttemptEnd::NotExecuted;
-    m_choice = m_context.targets().choose(m_demand, now, m_context.random());
+    m_choice = m_context.targets().choose(m_demand, timeLeft(), now, m_context.random());
     if (!m_choice.target)
         co_return AttemptEnd::NotConnected;
     m_demand.tried.insert(m_choice.target->listing().instance);
@@ -393,7 +393,7 @@
 void GatewayRequest::endAttempt(std::optional<TargetOutcome> outcome, bool reusable)
 {
     if (m_choice.target)
-        m_context.targets().finish(*m_choice.target, outcome, m_sentAt, monotonicNow());
+        m_context.targets().finish(m_choice, outcome, m_sentAt, monotonicNow());
     if (m_exchange && reusable)
         m_context.connections().giveBack(std::move(m_exchange));
     m_exchange.reset();
@@ -475,6 +475,8 @@
                { "target", target == nullptr ? "" : target->listing().instance },
                { "load", m_choice.load },
                { "rank", m_choice.rank },
+               { "knows_object", m_choice.knowsObject },
+               { "expected_wait_ms", m_choice.expectedWait.count() / 1000 },
                { "sends", m_sends },
                { "may_have_run", m_mayHaveRun },
                { "version", m_routes ? m_routes->version() : 0 },
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -8,15 +8,24 @@
 
 namespace {
 
-//! Share of objects of a target in the own failure domain or region, relative to one elsewhere.
-constexpr double OwnDomainWeight = 24.0;
+//! Share of objects of a target in the own region, relative to one elsewhere. All hosts of a region
+//! agree on it, so that they send an object to the same target.
 constexpr double OwnRegionWeight = 10.0;
-//! Load over slots up to which a target is taken in the order of affinity.
-constexpr double FreeLoadShare = 1.0;
-//! Load over slots up to which the most important requests queue at a target.
-constexpr double QueuedLoadShare = 2.0;
-//! Each step of priority gives up this much of the queue.
-constexpr double QueueSharePerPriority = 0.35;
+//! Part of the time left that a request may wait for a slot, for the most important requests.
+constexpr double MaxWaitShare = 0.5;
+//! Each step of priority gives up this much of it.
+constexpr double WaitSharePerPriority = 0.1;
+//! Each target that affinity prefers makes the next one this much dearer, in service times.
+constexpr double RankPenalty = 0.02;
+constexpr std::size_t MaxRankPenalty = 10;
+//! Before anything was measured, in latency objectives of the route.
+constexpr double AssumedKnownTime = 0.5;
+constexpr double AssumedUnknownTime = 1.5;
+//! Weight of the newest service time in the mean.
+constexpr double TimeStep = 0.05;
+//! Objects of one target that are remembered, and for how long.
+constexpr std::size_t MaxObjects = 1024;
+constexpr Duration ObjectMemory = std::chrono::seconds(30);
 //! A report of other hosts' load counts in full for this long, then fades.
 constexpr Duration ReportFreshness = std::chrono::milliseconds(500);
 //! More targets of a service than this share are not held back for failures.
@@ -136,11 +145,8 @@
 double TargetPool::localWeight(const PooledTarget &target) const
 {
     const double slots = target.m_listing.slots;
-    if (target.m_listing.domain == m_topology.ownDomain)
-        return slots * OwnDomainWeight;
-    if (target.m_region == m_topology.regionOf(m_topology.ownDomain))
-        return slots * OwnRegionWeight;
-    return slots;
+    const bool own = target.m_region == m_topology.regionOf(m_topology.ownDomain);
+    return own ? slots * OwnRegionWeight : slots;
 }
 
 std::vector<TargetPool::Ranked> TargetPool::rank(const TargetDemand &demand, Instant now,
@@ -201,47 +207,104 @@
     return true;
 }
 
-TargetChoice TargetPool::choose(const TargetDemand &demand, Instant now, RandomSource &random)
+ServiceTimes TargetPool::timesOf(const TargetDemand &demand) const
+{
+    const auto objective = static_cast<double>(demand.route->latencyObjective.count());
+    ServiceTimes times { objective * AssumedKnownTime, objective * AssumedUnknownTime };
+    const auto it = m_times.find(demand.service);
+    if (it == m_times.end())
+        return times;
+    if (it->second.known > 0.0)
+        times.known = it->second.known;
+    if (it->second.unknown > 0.0)
+        times.unknown = it->second.unknown;
+    return times;
+}
+
+TargetPool::Offer TargetPool::offerOf(const Ranked &candidate, std::uint32_t rank,
+                                      const TargetDemand &demand, Instant now) const
+{
+    const auto &target = *candidate.target;
+    const bool sticky = demand.route->sticky && demand.object.has_value();
+    const auto served = sticky ? target.m_objects.find(*demand.object) : target.m_objects.end();
+    const bool knows = served != target.m_objects.end() && now - served->second < ObjectMemory;
+    const auto times = timesOf(demand);
+    const double slots = target.m_listing.slots;
+    const double excess = std::max(0.0, target.load(now) + 1.0 - slots);
+    const double wait = excess / slots * times.known;
+    const auto steps = static_cast<double>(std::min<std::size_t>(rank, MaxRankPenalty));
+    const double service
+        = (knows || !sticky ? times.known : times.unknown) + steps * RankPenalty * times.unknown;
+    return { &candidate, rank, Duration(static_cast<Duration::rep>(wait)),
+             Duration(static_cast<Duration::rep>(wait + service)), knows };
+}
+
+TargetChoice TargetPool::choose(const TargetDemand &demand, Duration timeLeft, Instant now,
+                                RandomSource &random)
 {
     const auto ranked = rank(demand, now, random);
     TargetChoice choice;
+    if (demand.route->sticky)
+        choice.object = demand.object;
     if (ranked.empty())
         return choice;
     choice.reason = NoTarget::AllFull;
-    const double queued
-        = std::max(FreeLoadShare, QueuedLoadShare - QueueSharePerPriority * demand.route->priority);
+    const double share
+        = std::max(0.0, MaxWaitShare - WaitSharePerPriority * demand.route->priority);
+    const Duration maxWait(
+        static_cast<Duration::rep>(static_cast<double>(timeLeft.count()) * share));
+    std::vector<Offer> offers;
     std::uint32_t position = 0;
-    for (const auto &[rank, target] : ranked) {
-        const double load = target->load(now);
-        if (load < target->m_listing.slots * FreeLoadShare && takeColdToken(*target, now)) {
-            ++target->m_inFlight;
-            return { target, {}, load, position };
-        }
-        ++position;
-    }
-    const Ranked *best = nullptr;
-    double bestShare = queued;
     for (const auto &it : ranked) {
-        const double share = it.target->load(now) / it.target->m_listing.slots;
-        if (share < bestShare && now >= it.target->m_coldUntil) {
-            best = &it;
-            bestShare = share;
-        }
+        const Offer offer = offerOf(it, position++, demand, now);
+        if (offer.wait <= maxWait)
+            offers.push_back(offer);
     }
-    if (best == nullptr)
-        return choice;
-    const double load = best->target->load(now);
-    ++best->target->m_inFlight;
-    return { best->target, {}, load, position };
+    std::stable_sort(offers.begin(), offers.end(),
+                     [](const Offer &one, const Offer &other) { return one.total < other.total; });
+    for (const auto &offer : offers) {
+        const auto &target = offer.candidate->target;
+        if (!takeColdToken(*target, now))
+            continue;
+        choice.load = target->load(now);
+        choice.target = target;
+        choice.rank = offer.rank;
+        choice.expectedWait = offer.wait;
+        choice.knowsObject = offer.knowsObject;
+        ++target->m_inFlight;
+        break;
+    }
+    return choice;
 }
 
-void TargetPool::finish(PooledTarget &target, std::optional<TargetOutcome> outcome, Instant sentAt,
-                        Instant now)
+void TargetPool::finish(const TargetChoice &choice, std::optional<TargetOutcome> outcome,
+                        Instant sentAt, Instant now)
 {
+    auto &target = *choice.target;
     if (target.m_inFlight > 0)
         --target.m_inFlight;
     if (outcome)
         target.m_health.observeRequest(*outcome, sentAt, now);
+    if (outcome == TargetOutcome::Success)
+        learnTime(choice, sentAt, now);
+}
+
+void TargetPool::learnTime(const TargetChoice &choice, Instant sentAt, Instant now)
+{
+    auto &objects = choice.target->m_objects;
+    if (choice.object) {
+        if (objects.size() >= MaxObjects)
+            std::erase_if(objects,
+                          [now](const auto &it) { return now - it.second > ObjectMemory; });
+        objects[*choice.object] = now;
+    }
+    const bool waited = choice.load >= choice.target->m_listing.slots;
+    if (waited)
+        return;
+    auto &times = m_times[choice.target->m_listing.service];
+    double &mean = choice.knowsObject || !choice.object ? times.known : times.unknown;
+    const auto taken = static_cast<double>((now - sentAt).count());
+    mean = mean > 0.0 ? mean + TimeStep * (taken - mean) : taken;
 }
 
 void TargetPool::observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now)
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace ggv {
@@ -58,6 +59,7 @@
     RegionName m_region;
     std::uint64_t m_digest = 0;
     TargetHealth m_health;
+    std::unordered_map<std::uint64_t, Instant> m_objects; //!< Served for this host, and when.
     std::uint32_t m_inFlight = 0;
     double m_othersLoad = 0.0; //!< Requests of other hosts, by the newest report.
     Instant m_reportedAt = Instant::min();
@@ -78,6 +80,15 @@
     std::set<std::string> tried; //!< Instances that must not be chosen again.
 };
 
+//! How long a service's targets take, by what they know of the object.
+struct ServiceTimes
+{
+    double known = 0.0; //!< In microseconds; 0: not seen yet.
+    double unknown = 0.0; //!< In microseconds; 0: not seen yet.
+
+    [[nodiscard]] auto operator<=>(const ServiceTimes &) const noexcept = default;
+};
+
 //! Why no target was chosen.
 enum class NoTarget : std::uint8_t {
     NoneListed, //!< The service has no target that may serve the request at all.
@@ -90,7 +101,10 @@
     PooledTargetRef target; //!< Null if none was chosen.
     NoTarget reason = NoTarget::NoneListed; //!< Only if there is no target.
     double load = 0.0; //!< Load of the target when it was chosen.
-    std::uint32_t rank = 0; //!< Targets that were preferred but could not take it.
+    std::uint32_t rank = 0; //!< Targets that affinity would have preferred.
+    Duration expectedWait { 0 }; //!< For a slot of the target.
+    std::optional<std::uint64_t> object; //!< Object of the request, if affinity counts.
+    bool knowsObject = false; //!< The target has served the object recently.
 };
 
 /**
@@ -118,10 +132,11 @@
     void setEvacuated(const std::set<FailureDomainName> &domains, Instant now);
 
     //! Chooses a target and counts a request in flight to it.
-    [[nodiscard]] TargetChoice choose(const TargetDemand &demand, Instant now,
+    //! @param timeLeft Until the request's deadline.
+    [[nodiscard]] TargetChoice choose(const TargetDemand &demand, Duration timeLeft, Instant now,
                                       RandomSource &random);
     //! Ends a request in flight. @param outcome How it ended; nothing: it says nothing of health.
-    void finish(PooledTarget &target, std::optional<TargetOutcome> outcome, Instant sentAt,
+    void finish(const TargetChoice &choice, std::optional<TargetOutcome> outcome, Instant sentAt,
                 Instant now);
     //! Takes in the load that came with an answer.
     void observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now);
@@ -152,6 +167,20 @@
     [[nodiscard]] double localWeight(const PooledTarget &target) const;
     [[nodiscard]] std::vector<Ranked> rank(const TargetDemand &demand, Instant now,
                                            RandomSource &random) const;
+    //! A target that could take a request, and what that would cost.
+    struct Offer
+    {
+        const Ranked *candidate = nullptr;
+        std::uint32_t rank = 0;
+        Duration wait { 0 };
+        Duration total { 0 };
+        bool knowsObject = false;
+    };
+
+    [[nodiscard]] Offer offerOf(const Ranked &candidate, std::uint32_t rank,
+                                const TargetDemand &demand, Instant now) const;
+    [[nodiscard]] ServiceTimes timesOf(const TargetDemand &demand) const;
+    void learnTime(const TargetChoice &choice, Instant sentAt, Instant now);
     [[nodiscard]] bool takeColdToken(PooledTarget &target, Instant now);
     void learnCold(PooledTarget &target, Duration coldFor, Instant now) const;
 
@@ -159,6 +188,7 @@
     std::map<ServiceName, Candidates> m_services;
     std::map<std::string, PooledTargetRef> m_byInstance;
     std::map<ServiceName, ServicePolicy> m_policies;
+    std::map<ServiceName, ServiceTimes> m_times;
     std::set<FailureDomainName> m_evacuated;
     std::size_t m_entryHosts = 1;
     bool m_hasList = false;
