--- /dev/null
+++ b/packages/coordination/test/fleet/fleet_directory_test.cpp
@@ -0,0 +1,105 @@
+#include <ggv/coordination/fleet/fleet_directory.hpp>
+#include <ggv/coordination/fleet/shared_target_list.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using ggv::Duration;
+using ggv::FleetDirectory;
+using ggv::HostRole;
+using ggv::HostSighting;
+using ggv::Instant;
+using ggv::SharedTargetList;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+HostSighting entryHost(const char *name, Duration age, bool ready = true)
+{
+    HostSighting sighting;
+    sighting.host.name = ggv::HostName(name);
+    sighting.host.ready = ready;
+    sighting.age = age;
+    return sighting;
+}
+
+std::vector<ggv::ListedTarget> targets(std::uint32_t slots)
+{
+    ggv::ListedTarget target;
+    target.instance = "i-1";
+    target.slots = slots;
+    return { target };
+}
+
+class FleetDirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetDirectoryTest);
+    CPPUNIT_TEST(hostsAreAliveForAWhile);
+    CPPUNIT_TEST(anOlderSightingChangesNothing);
+    CPPUNIT_TEST(silentHostsAreForgotten);
+    CPPUNIT_TEST(theListThatWasReadLastCounts);
+    CPPUNIT_TEST(aListIsSentOnlyToThoseThatLackIt);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void hostsAreAliveForAWhile()
+    {
+        FleetDirectory directory;
+        CPPUNIT_ASSERT(directory.observe(entryHost("a", Duration(0)), m_now));
+        CPPUNIT_ASSERT(!directory.observe(entryHost("a", Duration(0)), m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.alive(HostRole::Entry, m_now).size());
+        CPPUNIT_ASSERT(directory.alive(HostRole::Control, m_now).empty());
+        CPPUNIT_ASSERT(directory.alive(HostRole::Entry, m_now + seconds(2)).empty());
+    }
+
+    void anOlderSightingChangesNothing()
+    {
+        FleetDirectory directory;
+        (void)directory.observe(entryHost("a", Duration(0), false), m_now);
+        CPPUNIT_ASSERT(!directory.observe(entryHost("a", seconds(1), true), m_now));
+        CPPUNIT_ASSERT(!directory.alive(HostRole::Entry, m_now).front().ready);
+        CPPUNIT_ASSERT(directory.alive(HostRole::Entry, m_now + milliseconds(1400)).size() == 1);
+    }
+
+    void silentHostsAreForgotten()
+    {
+        FleetDirectory directory;
+        (void)directory.observe(entryHost("a", Duration(0)), m_now);
+        directory.expire(m_now + seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.sightings(m_now).size());
+        directory.expire(m_now + seconds(61));
+        CPPUNIT_ASSERT(directory.sightings(m_now).empty());
+    }
+
+    void theListThatWasReadLastCounts()
+    {
+        SharedTargetList own;
+        SharedTargetList other;
+        own.replace(targets(1), m_now);
+        other.replace(targets(2), m_now - seconds(1));
+        CPPUNIT_ASSERT(!own.adopt(other.report(0, m_now), m_now));
+        other.replace(targets(3), m_now + seconds(1));
+        CPPUNIT_ASSERT(own.adopt(other.report(0, m_now + seconds(2)), m_now + seconds(2)));
+        CPPUNIT_ASSERT_EQUAL(3U, own.list().targets.front().slots);
+        CPPUNIT_ASSERT(Duration(seconds(1)) == own.age(m_now + seconds(2)));
+    }
+
+    void aListIsSentOnlyToThoseThatLackIt()
+    {
+        SharedTargetList list;
+        CPPUNIT_ASSERT(!list.report(0, m_now).targets);
+        list.replace(targets(1), m_now);
+        CPPUNIT_ASSERT(list.report(0, m_now).targets.has_value());
+        CPPUNIT_ASSERT(!list.report(list.digest(), m_now).targets);
+        SharedTargetList other;
+        other.replace(targets(1), m_now);
+        CPPUNIT_ASSERT_EQUAL(list.digest(), other.digest());
+    }
+
+private:
+    Instant m_now { seconds(1000) };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetDirectoryTest);
+
+} // namespace
--- /dev/null
+++ b/packages/coordination/test/fleet/fleet_machine_test.cpp
@@ -0,0 +1,93 @@
+#include <ggv/coordination/fleet/fleet_machine.hpp>
+#include <ggv/protocol/codec/fleet_codec.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using ggv::ChangeConfiguration;
+using ggv::FailureDomainName;
+using ggv::FleetCommand;
+using ggv::FleetCommandAnswer;
+using ggv::FleetMachine;
+using ggv::ResultCode;
+using ggv::SetEvacuation;
+
+class FleetMachineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetMachineTest);
+    CPPUNIT_TEST(aChangeBuildsOnTheCurrentVersion);
+    CPPUNIT_TEST(ofTwoChangesOnOneVersionOneWins);
+    CPPUNIT_TEST(aResentChangeIsAcceptedAgainAlsoAfterARestart);
+    CPPUNIT_TEST(anOlderVersionNumberIsRefused);
+    CPPUNIT_TEST(evacuationsAreRepeatable);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aChangeBuildsOnTheCurrentVersion()
+    {
+        CPPUNIT_ASSERT(change(2, 0, 'a').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(5, 2, 'b').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(9, 2, 'c').code == ResultCode::VersionConflict);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, m_machine.state().version);
+        CPPUNIT_ASSERT(ggv::Bytes { 'b' } == m_machine.state().configuration);
+    }
+
+    void ofTwoChangesOnOneVersionOneWins()
+    {
+        CPPUNIT_ASSERT(change(2, 0, 'a').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(3, 2, 'b').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(3, 2, 'c').code == ResultCode::VersionConflict);
+        CPPUNIT_ASSERT(ggv::Bytes { 'b' } == m_machine.state().configuration);
+    }
+
+    void aResentChangeIsAcceptedAgainAlsoAfterARestart()
+    {
+        CPPUNIT_ASSERT(change(2, 0, 'a').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(3, 2, 'b').code == ResultCode::Ok);
+        const auto bytes = m_machine.encode();
+        m_machine.restore(bytes);
+        CPPUNIT_ASSERT(change(2, 0, 'a').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(3, 2, 'b').code == ResultCode::Ok);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, m_machine.state().version);
+    }
+
+    void anOlderVersionNumberIsRefused()
+    {
+        CPPUNIT_ASSERT(change(5, 0, 'a').code == ResultCode::Ok);
+        CPPUNIT_ASSERT(change(5, 5, 'b').code == ResultCode::VersionConflict);
+        CPPUNIT_ASSERT(change(4, 5, 'b').code == ResultCode::VersionConflict);
+    }
+
+    void evacuationsAreRepeatable()
+    {
+        const FailureDomainName domain("a");
+        CPPUNIT_ASSERT(run(SetEvacuation { domain, true }).code == ResultCode::Ok);
+        const auto revision = m_machine.state().revision;
+        CPPUNIT_ASSERT(run(SetEvacuation { domain, true }).code == ResultCode::Ok);
+        CPPUNIT_ASSERT_EQUAL(revision, m_machine.state().revision);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_machine.state().evacuated.size());
+        CPPUNIT_ASSERT(run(SetEvacuation { domain, false }).code == ResultCode::Ok);
+        CPPUNIT_ASSERT(m_machine.state().evacuated.empty());
+        CPPUNIT_ASSERT(m_machine.state().revision > revision);
+    }
+
+private:
+    FleetCommandAnswer run(const FleetCommand &command)
+    {
+        return ggv::decodeFleetCommandAnswer(
+            m_machine.apply(++m_index, ggv::encodeFleetCommand(command)));
+    }
+
+    FleetCommandAnswer change(std::uint64_t version, std::uint64_t base, std::uint8_t content)
+    {
+        return run(ChangeConfiguration { version, base, content * 1000U + base, { content } });
+    }
+
+    FleetMachine m_machine { [] {} };
+    ggv::LogIndex m_index = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetMachineTest);
+
+} // namespace
