--- /dev/null
+++ b/packages/coordination/test/gateway/scripted_target.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <ggv/state/model/entities.hpp>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace ggv::test {
+
+//! What a scripted target sends back.
+struct ScriptedAnswer
+{
+    std::string bytes;
+    bool close = false; //!< Closes the connection after the bytes.
+    bool silent = false; //!< Sends nothing and waits for the peer to close.
+};
+
+//! A target that sends any bytes; belongs to one running loop.
+class ScriptedTarget
+{
+public:
+    using Script = std::function<ScriptedAnswer(const std::string &request)>;
+
+    ScriptedTarget(boost::asio::io_context &context, Script script)
+        : m_acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+        , m_script(std::move(script))
+    {
+        boost::asio::co_spawn(context, accept(), boost::asio::detached);
+    }
+
+    ggv::Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+    std::vector<std::string> requests() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_requests;
+    }
+
+    bool peerClosed() const { return m_peerClosed; }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> accept()
+    {
+        while (true) {
+            Socket socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)),
+                                  boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(Socket socket)
+    {
+        std::string buffer;
+        while (true) {
+            boost::system::error_code ec;
+            const std::size_t head = co_await boost::asio::async_read_until(
+                socket, boost::asio::dynamic_buffer(buffer), HeadEnd,
+                boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            if (ec)
+                break;
+            const std::size_t whole = head + lengthOf(buffer.substr(0, head));
+            if (buffer.size() < whole) {
+                co_await boost::asio::async_read(
+                    socket, boost::asio::dynamic_buffer(buffer),
+                    boost::asio::transfer_exactly(whole - buffer.size()),
+                    boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            }
+            if (ec)
+                break;
+            const std::string request = buffer.substr(0, whole);
+            buffer.erase(0, whole);
+            note(request);
+            const ScriptedAnswer answer = m_script(request);
+            if (answer.silent)
+                continue;
+            co_await boost::asio::async_write(
+                socket, boost::asio::buffer(answer.bytes),
+                boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            if (answer.close)
+                co_return;
+        }
+        m_peerClosed = true;
+    }
+
+    void note(const std::string &request)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_requests.push_back(request);
+    }
+
+    static std::size_t lengthOf(const std::string &head)
+    {
+        constexpr std::string_view Name = "Content-Length: ";
+        const auto at = head.find(Name);
+        return at == std::string::npos ? 0 : std::stoul(head.substr(at + Name.size()));
+    }
+
+    static constexpr std::string_view HeadEnd = "\r\n\r\n";
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Script m_script;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::atomic<bool> m_peerClosed = false;
+};
+
+} // namespace ggv::test
