Elect leaders within a second and read the targets' list every 0.9 s

Cause: after all machines lost power, service came back with the election, up to 2 s after the start. Ruled out: start of the processes (0.02 s), connections between control hosts (0.3 s).

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -30,11 +30,14 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration SightingInterval = std::chrono::milliseconds(400);
 //! The leader reads the platform's list this often.
-constexpr Duration ListInterval = std::chrono::milliseconds(450);
+constexpr Duration ListInterval = std::chrono::milliseconds(900);
 //! Another control host reads the list itself if what it was told is older.
-constexpr Duration ListPatience = std::chrono::milliseconds(1300);
+constexpr Duration ListPatience = std::chrono::milliseconds(1600);
 //! Further patience, drawn by each host, so that not all read at once.
 constexpr Duration ListJitter = std::chrono::milliseconds(500);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(100);
+constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(500);
+constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds(1000);
 constexpr Duration OrderTimeout = std::chrono::milliseconds(2500);
 
 //! A connection that another host opened.
@@ -94,6 +97,9 @@
     {
         QuorumSetup setup { "fleet", "fleet-", m_setup.self.member, {}, {} };
         setup.options.seed = randomNumber();
+        setup.options.heartbeatInterval = HeartbeatInterval;
+        setup.options.electionTimeoutMin = ElectionTimeoutMin;
+        setup.options.electionTimeoutMax = ElectionTimeoutMax;
         const auto &seeds = m_setup.seeds;
         const bool isSeed
             = std::find(seeds.begin(), seeds.end(), m_setup.self.internal) != seeds.end();
