Keep cold targets below their rate when their cold time ends

Cause: the time that the list was under way was subtracted from a target's cold time, so every host took it for warm tens of milliseconds early, and all of them sent to it at once: 22 requests in the second before its end, 16.2 allowed. Ruled out: the number of entry hosts (8, known to all), the initial tokens (none). The new test counts 306 requests in a second without the margin and the slow growth, where 12 are allowed.

Changes of belief about targets are logged with their source and its age.

--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -61,8 +61,22 @@
         , m_context(pool.context(0), m_setup.topology, m_setup.headers, m_setup.retryPolicy)
     { }
 
+    static void logChange(const TargetChange &change)
+    {
+        logEvent(LogLevel::Info, "target-belief",
+                 { { "target", change.target.instance },
+                   { "service", change.target.service.text() },
+                   { "address", change.target.endpoint.address },
+                   { "domain", change.target.domain.text() },
+                   { "belief", targetBeliefName(change.belief) },
+                   { "source", change.source },
+                   { "source_age_ms", change.age.count() / 1000 },
+                   { "lasts_ms", change.lasts.count() / 1000 } });
+    }
+
     void start()
     {
+        m_context.targets().setObserver(&Implementation::logChange);
         m_context.listAge = [this] { return m_link ? m_link->listAge() : Duration(0); };
         m_server = HttpServer::listen(
                        m_pool, m_setup.self.service, callerLimits(),
@@ -90,6 +104,10 @@
     {
         if (feed.configuration && feed.revision != m_revision)
             applyConfiguration(feed);
+        if (feed.entryHosts != m_entryHosts)
+            logEvent(LogLevel::Info, "entry-hosts-changed",
+                     { { "before", m_entryHosts }, { "alive", feed.entryHosts } });
+        m_entryHosts = feed.entryHosts;
         m_context.setEntryHosts(feed.entryHosts);
         const std::set<FailureDomainName> evacuated(feed.evacuated.begin(), feed.evacuated.end());
         if (evacuated != m_evacuated) {
@@ -157,6 +175,7 @@
     std::shared_ptr<EntryLink> m_link;
     std::set<FailureDomainName> m_evacuated;
     std::uint64_t m_revision = 0;
+    std::uint32_t m_entryHosts = 1;
     bool m_hasTargets = false;
     std::optional<Instant> m_endingSince;
 };
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -333,7 +333,7 @@
 {
     const auto &names = m_context.headers();
     if (head.status == StatusMisdirected) {
-        m_context.targets().observeReplaced(*m_choice.target, monotonicNow());
+        m_context.targets().observeReplaced(*m_choice.target);
         return AttemptEnd::NotExecuted;
     }
     if (findHeader(head.headers, names.notExecuted) != nullptr)
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -23,6 +23,11 @@
 constexpr double AssumedUnknownTime = 1.5;
 //! Weight of the newest service time in the mean.
 constexpr double TimeStep = 0.05;
+// What a change of belief rests on.
+constexpr const char *ListSource = "platform-list";
+constexpr const char *ConnectSource = "connection-refused";
+constexpr const char *EvacuationSource = "evacuation-ended";
+constexpr const char *AnswerSource = "answer";
 //! Objects of one target that are remembered, and for how long.
 constexpr std::size_t MaxObjects = 1024;
 constexpr Duration ObjectMemory = std::chrono::seconds(30);
@@ -32,6 +37,11 @@
 constexpr double MaxDownShare = 0.5;
 //! A cold target's unused rate is kept for this long.
 constexpr double ColdBurstSeconds = 0.25;
+//! Added to the time that a target is said to stay cold.
+constexpr Duration ColdMargin = std::chrono::milliseconds(250);
+//! After that, the rate grows to its multiple within this time, so that not all hosts send at once.
+constexpr Duration WarmUpTime = std::chrono::milliseconds(1500);
+constexpr double WarmUpFactor = 8.0;
 //! Time that a refused caller should wait for a slot.
 constexpr Duration FullRetryAfter = std::chrono::milliseconds(400);
 
@@ -72,10 +82,45 @@
     : m_topology(std::move(topology))
 { }
 
-void TargetPool::learnCold(PooledTarget &target, Duration coldFor, Instant now) const
+std::string_view targetBeliefName(TargetBelief belief) noexcept
+{
+    switch (belief) {
+    case TargetBelief::Listed:
+        return "listed";
+    case TargetBelief::Delisted:
+        return "delisted";
+    case TargetBelief::Leaving:
+        return "leaving";
+    case TargetBelief::Cold:
+        return "cold";
+    case TargetBelief::Replaced:
+        return "replaced";
+    case TargetBelief::Down:
+        return "down";
+    case TargetBelief::Working:
+        return "working";
+    }
+    return "unlisted";
+}
+
+void TargetPool::setObserver(std::function<void(const TargetChange &)> onChange)
+{
+    m_onChange = std::move(onChange);
+}
+
+void TargetPool::report(const PooledTarget &target, TargetBelief belief, const char *source,
+                        Duration age, Duration lasts) const
+{
+    m_onChange({ target.m_listing, belief, source, age, lasts });
+}
+
+void TargetPool::learnCold(PooledTarget &target, Duration coldFor, const char *source, Duration age,
+                           Instant now)
 {
     if (coldFor <= Duration(0))
         return;
+    if (now >= target.m_coldUntil)
+        report(target, TargetBelief::Cold, source, age, coldFor);
     target.m_coldUntil = std::max(target.m_coldUntil, now + coldFor);
 }
 
@@ -95,14 +140,31 @@
         const bool wasLeaving = same && target->m_listing.leaving;
         target->m_listing = listing;
         target->m_listing.leaving = listing.leaving || wasLeaving;
-        learnCold(*target, listing.coldFor - age, now);
+        if (!same)
+            report(*target, TargetBelief::Listed, ListSource, age);
+        if (target->m_listing.leaving && !wasLeaving)
+            report(*target, TargetBelief::Leaving, ListSource, age);
+        // The time that the list was under way is not subtracted: it may have been written late.
+        if (listing.coldFor > Duration(0))
+            learnCold(*target, listing.coldFor + ColdMargin, ListSource, age, now);
         byInstance[listing.instance] = target;
         services[listing.service].push_back(target);
     }
+    removeMissing(byInstance, age);
     m_byInstance = std::move(byInstance);
     m_services = std::move(services);
 }
 
+void TargetPool::removeMissing(const std::map<std::string, PooledTargetRef> &listed,
+                               Duration age) const
+{
+    for (const auto &[instance, target] : m_byInstance) {
+        const auto it = listed.find(instance);
+        if (it == listed.end() || it->second != target)
+            report(*target, TargetBelief::Delisted, ListSource, age);
+    }
+}
+
 void TargetPool::setRules(const RouteRules &rules) { m_policies = rules.services; }
 
 void TargetPool::setEntryHosts(std::size_t count) noexcept
@@ -117,7 +179,7 @@
             continue;
         for (const auto &[instance, target] : m_byInstance) {
             if (target->m_listing.domain == domain)
-                observeRestart(*target, now);
+                assumeCold(*target, EvacuationSource, now);
         }
     }
     m_evacuated = domains;
@@ -184,22 +246,33 @@
     return ranked;
 }
 
-bool TargetPool::takeColdToken(PooledTarget &target, Instant now)
+// Rate that a target bears from this host; nothing if it is not bounded.
+std::optional<double> TargetPool::rateOf(const PooledTarget &target, Instant now) const
 {
-    if (now >= target.m_coldUntil)
-        return true;
+    if (target.m_coldUntil == Instant::min() || now >= target.m_coldUntil + WarmUpTime)
+        return std::nullopt;
     const auto policy = m_policies.find(target.m_listing.service);
     const double rate = policy == m_policies.end() ? 0.0 : policy->second.coldRequestsPerSecond;
     if (rate <= 0.0)
-        return true;
+        return std::nullopt;
     const double share = rate / static_cast<double>(m_entryHosts);
-    const double burst = std::max(1.0, share * ColdBurstSeconds);
-    if (target.m_coldRefilledAt == Instant::min()) {
-        target.m_coldTokens = 0.0;
+    if (now < target.m_coldUntil)
+        return share;
+    const auto progress = std::chrono::duration<double>(now - target.m_coldUntil)
+        / std::chrono::duration<double>(WarmUpTime);
+    return share * (1.0 + progress * (WarmUpFactor - 1.0));
+}
+
+bool TargetPool::takeColdToken(PooledTarget &target, Instant now)
+{
+    const auto rate = rateOf(target, now);
+    if (!rate)
+        return true;
+    const double burst = std::max(1.0, *rate * ColdBurstSeconds);
+    if (target.m_coldRefilledAt == Instant::min())
         target.m_coldRefilledAt = now;
-    }
     const auto elapsed = std::chrono::duration<double>(now - target.m_coldRefilledAt);
-    target.m_coldTokens = std::min(burst, target.m_coldTokens + elapsed.count() * share);
+    target.m_coldTokens = std::min(burst, target.m_coldTokens + elapsed.count() * *rate);
     target.m_coldRefilledAt = now;
     if (target.m_coldTokens < 1.0)
         return false;
@@ -284,11 +357,24 @@
     if (target.m_inFlight > 0)
         --target.m_inFlight;
     if (outcome)
-        target.m_health.observeRequest(*outcome, sentAt, now);
+        observeHealth(target, *outcome, sentAt, now);
     if (outcome == TargetOutcome::Success)
         learnTime(choice, sentAt, now);
 }
 
+void TargetPool::observeHealth(PooledTarget &target, TargetOutcome outcome, Instant sentAt,
+                               Instant now)
+{
+    const bool wasDown = target.m_isDown;
+    target.m_health.observeRequest(outcome, sentAt, now);
+    target.m_isDown = target.m_health.state(now) == HealthState::Down
+        || (wasDown && outcome != TargetOutcome::Success);
+    if (target.m_isDown && !wasDown)
+        report(target, TargetBelief::Down, AnswerSource);
+    else if (wasDown && !target.m_isDown)
+        report(target, TargetBelief::Working, AnswerSource);
+}
+
 void TargetPool::learnTime(const TargetChoice &choice, Instant sentAt, Instant now)
 {
     auto &objects = choice.target->m_objects;
@@ -318,13 +404,23 @@
         target.m_listing.slots = load.slots;
 }
 
-void TargetPool::observeReplaced(PooledTarget &target, Instant) { target.m_replaced = true; }
+void TargetPool::observeReplaced(PooledTarget &target)
+{
+    if (!target.m_replaced)
+        report(target, TargetBelief::Replaced, AnswerSource);
+    target.m_replaced = true;
+}
 
 void TargetPool::observeRestart(PooledTarget &target, Instant now)
+{
+    assumeCold(target, ConnectSource, now);
+}
+
+void TargetPool::assumeCold(PooledTarget &target, const char *source, Instant now)
 {
     const auto policy = m_policies.find(target.m_listing.service);
     if (policy != m_policies.end())
-        learnCold(target, policy->second.coldStart, now);
+        learnCold(target, policy->second.coldStart, source, Duration(0), now);
 }
 
 Duration TargetPool::retryAfter(const ServiceName &) const noexcept { return FullRetryAfter; }
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -6,6 +6,7 @@
 #include <ggv/state/routing/route_table.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +64,7 @@
     std::uint32_t m_inFlight = 0;
     double m_othersLoad = 0.0; //!< Requests of other hosts, by the newest report.
     Instant m_reportedAt = Instant::min();
+    bool m_isDown = false; //!< As reported.
     bool m_replaced = false; //!< Another instance answered at its address.
     Instant m_coldUntil = Instant::min();
     double m_coldTokens = 0.0;
@@ -80,6 +82,30 @@
     std::set<std::string> tried; //!< Instances that must not be chosen again.
 };
 
+//! What a host comes to believe of a target.
+enum class TargetBelief : std::uint8_t {
+    Listed, //!< Known for the first time.
+    Delisted, //!< No longer in the platform's list.
+    Leaving,
+    Cold, //!< Bears only its cold rate for a time.
+    Replaced, //!< Another instance answers at its address.
+    Down, //!< Gets no requests for a time because they failed.
+    Working, //!< Works again after it was down.
+};
+
+//! @return Name of a belief for logs.
+[[nodiscard]] std::string_view targetBeliefName(TargetBelief belief) noexcept;
+
+//! A change of belief and what it rests on.
+struct TargetChange
+{
+    const ListedTarget &target;
+    TargetBelief belief = TargetBelief::Listed;
+    const char *source = ""; //!< What it rests on.
+    Duration age { 0 }; //!< Of the source.
+    Duration lasts { 0 }; //!< For Cold.
+};
+
 //! How long a service's targets take, by what they know of the object.
 struct ServiceTimes
 {
@@ -115,8 +141,7 @@
 class TargetPool
 {
 public:
-    //! @param topology Where this host is. @param coldRateSlack Requests per second that a cold
-    //! target bears beyond its rate, from all hosts together.
+    //! @param topology Where this host is.
     explicit TargetPool(Topology topology);
 
     /**
@@ -124,6 +149,8 @@
      * @param list The reading. @param age Time since it was read. @param now Current time.
      */
     void update(const TargetList &list, Duration age, Instant now);
+    //! Sets a function that is called with each change of belief.
+    void setObserver(std::function<void(const TargetChange &)> onChange);
     //! Takes in what the operators say of services.
     void setRules(const RouteRules &rules);
     //! Takes in how many entry hosts share the targets; at least 1.
@@ -141,7 +168,7 @@
     //! Takes in the load that came with an answer.
     void observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now);
     //! Another instance answered at the target's address: it gets nothing until it is listed anew.
-    void observeReplaced(PooledTarget &target, Instant now);
+    void observeReplaced(PooledTarget &target);
     //! The target may have restarted: it counts as cold until the platform's list says otherwise.
     void observeRestart(PooledTarget &target, Instant now);
 
@@ -181,10 +208,18 @@
                                 const TargetDemand &demand, Instant now) const;
     [[nodiscard]] ServiceTimes timesOf(const TargetDemand &demand) const;
     void learnTime(const TargetChoice &choice, Instant sentAt, Instant now);
+    [[nodiscard]] std::optional<double> rateOf(const PooledTarget &target, Instant now) const;
     [[nodiscard]] bool takeColdToken(PooledTarget &target, Instant now);
-    void learnCold(PooledTarget &target, Duration coldFor, Instant now) const;
+    void learnCold(PooledTarget &target, Duration coldFor, const char *source, Duration age,
+                   Instant now);
+    void report(const PooledTarget &target, TargetBelief belief, const char *source,
+                Duration age = Duration(0), Duration lasts = Duration(0)) const;
+    void assumeCold(PooledTarget &target, const char *source, Instant now);
+    void observeHealth(PooledTarget &target, TargetOutcome outcome, Instant sentAt, Instant now);
+    void removeMissing(const std::map<std::string, PooledTargetRef> &listed, Duration age) const;
 
     Topology m_topology;
+    std::function<void(const TargetChange &)> m_onChange = [](const TargetChange &) {};
     std::map<ServiceName, Candidates> m_services;
     std::map<std::string, PooledTargetRef> m_byInstance;
     std::map<ServiceName, ServicePolicy> m_policies;
--- a/packages/state/test/routing/target_pool_test.cpp
+++ b/packages/state/test/routing/target_pool_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(evacuatedDomainsGetNothingAndComeBackCold);
     CPPUNIT_TEST(homesBind);
     CPPUNIT_TEST(coldTargetsGetTheirShareOfTheRate);
+    CPPUNIT_TEST(aTargetThatBecomesWarmIsNotFlooded);
     CPPUNIT_TEST(failingTargetsAreHeldBackUnlessMostFail);
     CPPUNIT_TEST(triedTargetsAreNotChosenAgain);
     CPPUNIT_TEST_SUITE_END();
@@ -183,7 +184,7 @@
     {
         const auto choice = choose(7);
         const auto home = choice.target->listing().instance;
-        m_pool->observeReplaced(*choice.target, m_now);
+        m_pool->observeReplaced(*choice.target);
         m_pool->finish(choice, std::nullopt, m_now, m_now);
         m_pool->update(sampleList(), Duration(0), m_now);
         CPPUNIT_ASSERT(serve(7) != home);
@@ -242,6 +243,31 @@
         CPPUNIT_ASSERT(taken <= 5);
     }
 
+    void aTargetThatBecomesWarmIsNotFlooded()
+    {
+        auto list = sampleList();
+        list.targets.resize(1);
+        list.targets[0].coldFor = seconds(1);
+        m_pool->update(list, milliseconds(100), m_now);
+        // The sliding second around the end of the cold time, by the rate of 8 and its slack.
+        std::vector<Instant> sent;
+        for (int n = 0; n < 1300; ++n) {
+            m_now += milliseconds(1);
+            const auto choice = choose(static_cast<std::uint64_t>(n));
+            if (!choice.target)
+                continue;
+            sent.push_back(m_now);
+            m_pool->finish(choice, TargetOutcome::Success, m_now, m_now);
+        }
+        std::size_t most = 0;
+        for (std::size_t first = 0, last = 0; last < sent.size(); ++last) {
+            while (sent[last] - sent[first] > seconds(1))
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= 12);
+    }
+
     void failingTargetsAreHeldBackUnlessMostFail()
     {
         const auto home = serve(7);
