End connections whose peer acknowledges nothing, and do not count refusals as attempts

Cause: requests to targets that fell silent waited for their deadline; a target's 421 used up one of the route's attempts although it had not run.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t BufferedAnswerBytes = 64UL * 1024;
 constexpr std::size_t ChunkBytes = 16UL * 1024;
 constexpr std::uint32_t MaxConnectFailures = 3;
+constexpr std::uint32_t MaxRefusals = 3;
 constexpr std::uint16_t StatusNotFound = 404;
 constexpr std::uint16_t StatusMisdirected = 421;
 constexpr std::uint16_t StatusBadGateway = 502;
@@ -205,7 +206,9 @@
     case AttemptEnd::NotConnected:
         return m_choice.target != nullptr && ++m_connectFailures < MaxConnectFailures;
     case AttemptEnd::NotExecuted:
-        break;
+        // Bounded by the budget only: maxAttempts counts the targets that may have executed it.
+        return m_choice.target != nullptr && ++m_refusals < MaxRefusals
+            && m_context.tryRetry(m_demand.service, monotonicNow());
     case AttemptEnd::Failed:
     case AttemptEnd::Lost:
         if (!idempotent())
@@ -214,7 +217,8 @@
     default:
         return false;
     }
-    return m_sends < m_route->maxAttempts && m_context.tryRetry(m_demand.service, monotonicNow());
+    return m_sends - m_refusals < m_route->maxAttempts
+        && m_context.tryRetry(m_demand.service, monotonicNow());
 }
 
 asio::awaitable<GatewayRequest::AttemptEnd> GatewayRequest::attempt()
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -76,6 +76,7 @@
     std::unique_ptr<ClientExchange> m_exchange;
     Instant m_sentAt {};
     std::uint32_t m_sends = 0; //!< Attempts in which a byte may have reached a target.
+    std::uint32_t m_refusals = 0; //!< Sends that the target stated it did not execute.
     std::uint32_t m_connectFailures = 0;
     bool m_mayHaveRun = false;
     std::shared_ptr<bool> m_callerGone = std::make_shared<bool>(false);
--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/transport/http/detail/beast_heads.hpp>
 #include <ggv/transport/http/detail/operation_timer.hpp>
+#include <ggv/transport/net/detail/silence_bound.hpp>
 
 #include <algorithm>
 #include <array>
@@ -67,6 +68,7 @@
     {
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
+        boundSilence(m_socket);
         m_overloaded = m_shared->connections.fetch_add(1) >= m_shared->limits.maxConnections;
     }
 
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/transport/http/detail/beast_heads.hpp>
 #include <ggv/transport/http/detail/operation_timer.hpp>
+#include <ggv/transport/net/detail/silence_bound.hpp>
 
 #include <limits>
 #include <map>
@@ -57,6 +58,7 @@
                         "cannot connect to " + m_peer.address + ":" + std::to_string(m_peer.port)
                             + ": " + (late ? "deadline passed" : ec.message()));
         m_socket.set_option(tcp::no_delay(true), ec);
+        detail::boundSilence(m_socket);
     }
 
     asio::awaitable<void> sendHead(const HttpRequestHead &head, Instant deadline) override
