Leave a control host that follows no leader, share limits among all known hosts, one logger

Cause: an entry host attached to one of two cut-off control hosts waited 0.9 s, reconnected to the same host, and again. Ruled out: a late election (0.6 s) and late application at the others (0.1 s).

Structured events replace glog everywhere, so that one logger remains.

--- a/packages/coordination/ggv/coordination/claims/claim_desk.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_desk.cpp
@@ -3,8 +3,6 @@
 #include <ggv/coordination/claims/claim_machine.hpp>
 #include <ggv/protocol/codec/claim_codec.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 ClaimDesk::ClaimDesk(ProcessId process, QuorumSet &quorums, SendHandler onSend)
--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -11,6 +11,7 @@
 #include <ggv/protocol/codec/change_codec.hpp>
 #include <ggv/protocol/codec/register_codec.hpp>
 #include <ggv/state/budget/limits_from_register.hpp>
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/state/model/register_delta.hpp>
 
 #include <algorithm>
@@ -18,8 +19,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 namespace {
@@ -101,7 +100,7 @@
         joinQuorums(*m_setup.bootstrap);
         m_claims->setGroups(m_setup.bootstrap->content().claimGroups);
         m_network->listen(settings.internal);
-        LOG(INFO) << "control: host " << m_self.text() << " starts, member " << m_quorums->self();
+        logEvent(LogLevel::Info, "control-plane-started", { { "member", m_quorums->self() } });
         schedule();
     }
 
@@ -327,7 +326,7 @@
         if (!content || (m_published && m_published->version() == content->version()))
             return;
         m_published = std::move(content);
-        LOG(INFO) << "control: version " << m_published->version() << " is in force";
+        logEvent(LogLevel::Info, "register-in-force", { { "version", m_published->version() } });
         m_holder->adoptRegister(m_published->version(),
                                 limitsFromRegister(*m_published).fixedOf(m_self));
         m_handlers.onRegister(m_published);
--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -3,6 +3,7 @@
 #include <ggv/coordination/entry/headers.hpp>
 #include <ggv/coordination/entry/system_answer.hpp>
 #include <ggv/coordination/observability/metrics.hpp>
+#include <ggv/state/log/event_log.hpp>
 
 #include <algorithm>
 #include <array>
@@ -10,7 +11,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <glog/logging.h>
 #include <xxhash.h>
 
 namespace ggv {
@@ -573,7 +573,7 @@
             keep(std::span(chunk).first(n));
         settleClaim(apply(RequestEventKind::AnswerEnded));
     } catch (const Error &error) {
-        LOG(INFO) << "entry: late answer is lost: " << error.what();
+        logEvent(LogLevel::Info, "late-answer-lost", { { "reason", error.what() } });
     }
     endExchange(false);
 }
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -320,8 +320,7 @@
         feed.current = isCurrent() && state.version > 0;
         feed.revision = state.revision;
         feed.evacuated = state.evacuated;
-        feed.entryHosts
-            = static_cast<std::uint32_t>(m_directory.alive(HostRole::Entry, now).size());
+        feed.entryHosts = static_cast<std::uint32_t>(m_directory.known(HostRole::Entry).size());
         feed.controlHosts = m_directory.alive(HostRole::Control, now);
         if (session.sentRevision != state.revision)
             feed.configuration = state.configuration;
@@ -374,15 +373,10 @@
     void noteLeadership(Instant now)
     {
         const auto status = m_quorum->status();
-        if (status.leader == m_loggedLeader)
+        if (status.leader == m_knownLeader)
             return;
-        m_loggedLeader = status.leader;
+        m_knownLeader = status.leader;
         m_leaderSince = now;
-        logEvent(LogLevel::Info, "leader-changed",
-                 { { "leader", status.leader },
-                   { "term", status.term },
-                   { "self", status.leader == m_setup.self.member },
-                   { "voters", status.voters.size() } });
     }
 
     void adjustMembers(Instant now)
@@ -484,7 +478,7 @@
     Instant m_listTriedAt = Instant(Duration(0));
     Instant m_leaderSince {};
     Instant m_memberStepAt = Instant(Duration(0));
-    MemberId m_loggedLeader = 0;
+    MemberId m_knownLeader = 0;
     bool m_listReadable = true;
     bool m_started = false;
     bool m_feedPending = false;
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -10,11 +10,16 @@
 
 namespace {
 
+//! After this long with one control host, the nearest one is tried first again at the next loss.
+constexpr Duration SteadyTime = std::chrono::seconds(5);
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration ReportInterval = std::chrono::milliseconds(400);
 //! Without a confirmed state for this long, the next control host is tried.
 constexpr Duration FeedPatience = std::chrono::milliseconds(900);
 
+//! The same, if the control host says itself that it follows no confirmed leader.
+constexpr Duration BehindPatience = std::chrono::milliseconds(500);
+
 constexpr int SameDomain = 0;
 constexpr int SameRegion = 1;
 constexpr int OtherRegion = 2;
@@ -62,7 +67,7 @@
 void EntryLink::tick()
 {
     const Instant now = monotonicNow();
-    if (m_connection && now - std::max(m_currentAt, m_openedAt) > FeedPatience)
+    if (m_connection && now - std::max(m_currentAt, m_openedAt) > patience())
         drop("no confirmed state");
     if (!m_connection && !m_connecting)
         connectNext();
@@ -76,6 +81,8 @@
     });
 }
 
+Duration EntryLink::patience() const { return m_peerIsBehind ? BehindPatience : FeedPatience; }
+
 int EntryLink::distance(const HostAnnouncement &host) const
 {
     if (host.domain == m_self.domain)
@@ -104,8 +111,10 @@
     const auto endpoints = candidates();
     if (endpoints.empty())
         return;
-    m_peer = endpoints[m_nextCandidate++ % endpoints.size()];
+    // Failed ones are tried again only after all others.
+    m_peer = endpoints[m_failures % endpoints.size()];
     m_connecting = true;
+    m_peerIsBehind = false;
     connectFrames(
         m_context, m_peer, fleetFrameOptions(),
         [weak = weak_from_this()](std::shared_ptr<FrameConnection> connection) {
@@ -113,8 +122,10 @@
                 self->opened(std::move(connection));
         },
         [weak = weak_from_this()](ConnectFailure) {
-            if (const auto self = weak.lock())
+            if (const auto self = weak.lock()) {
                 self->m_connecting = false;
+                ++self->m_failures;
+            }
         });
 }
 
@@ -146,6 +157,7 @@
     if (m_connection)
         m_connection->close();
     m_connection.reset();
+    ++m_failures;
 }
 
 void EntryLink::sendReport()
@@ -171,14 +183,16 @@
 
 void EntryLink::handle(const FleetFeed &feed)
 {
-    if (!feed.current || feed.revision < m_revision)
+    m_peerIsBehind = !feed.current || feed.revision < m_revision;
+    if (m_peerIsBehind)
         return;
     if (feed.revision > m_revision && !feed.configuration)
         return;
     m_revision = feed.revision;
     m_currentAt = monotonicNow();
     m_controlHosts = feed.controlHosts;
-    m_nextCandidate = 0;
+    if (m_currentAt - m_openedAt > SteadyTime)
+        m_failures = 0;
     m_handlers.onFeed(feed);
 }
 
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -59,6 +59,7 @@
     void handle(const FleetFeed &feed);
     void handle(const TargetListReport &report);
     [[nodiscard]] std::vector<Endpoint> candidates() const;
+    [[nodiscard]] Duration patience() const;
     [[nodiscard]] int distance(const HostAnnouncement &host) const;
 
     boost::asio::io_context &m_context;
@@ -72,9 +73,10 @@
     std::shared_ptr<FrameConnection> m_connection;
     Endpoint m_peer;
     bool m_connecting = false;
-    std::size_t m_nextCandidate = 0;
+    std::size_t m_failures = 0; //!< Control hosts in a row that gave no confirmed state.
     Instant m_reportedAt = Instant(Duration(0));
     Instant m_openedAt = Instant(Duration(0));
+    bool m_peerIsBehind = false; //!< The control host says that it follows no confirmed leader.
     Instant m_currentAt = Instant(Duration(0)); //!< Last feed of a confirmed state.
 };
 
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
@@ -31,6 +31,16 @@
     return hosts;
 }
 
+std::vector<HostAnnouncement> FleetDirectory::known(HostRole role) const
+{
+    std::vector<HostAnnouncement> hosts;
+    for (const auto &[name, entry] : m_hosts) {
+        if (entry.host.role == role)
+            hosts.push_back(entry.host);
+    }
+    return hosts;
+}
+
 std::vector<HostSighting> FleetDirectory::sightings(Instant now) const
 {
     std::vector<HostSighting> sightings;
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
@@ -27,6 +27,8 @@
     void forget(const HostName &name);
     //! @return Hosts of a role that are alive, by name.
     [[nodiscard]] std::vector<HostAnnouncement> alive(HostRole role, Instant now) const;
+    //! @return Hosts of a role that are not forgotten, alive or not, by name.
+    [[nodiscard]] std::vector<HostAnnouncement> known(HostRole role) const;
     //! @return All hosts that are not forgotten, with the time since they were heard.
     [[nodiscard]] std::vector<HostSighting> sightings(Instant now) const;
     //! @return The host with that quorum identity, if it was heard.
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -37,13 +37,12 @@
     if (count == m_entryHosts)
         return;
     m_entryHosts = std::max<std::size_t>(count, 1);
+    for (auto &[service, budget] : m_budgets)
+        budget.setPolicy(budgetPolicy());
 }
 
-RetryBudget &GatewayContext::budget(const ServiceName &service)
+RetryBudgetPolicy GatewayContext::budgetPolicy() const
 {
-    const auto it = m_budgets.find(service);
-    if (it != m_budgets.end())
-        return it->second;
     const double slack = m_retryPolicy.slack * BudgetShare / static_cast<double>(m_entryHosts);
     const auto window = std::chrono::duration<double>(m_retryPolicy.window).count();
     RetryBudgetPolicy policy;
@@ -51,7 +50,15 @@
     // Half of the slack may be saved up, half comes back in the course of a window.
     policy.burst = std::max(1.0, slack / 2);
     policy.floorPerSecond = slack / 2 / window;
-    return m_budgets.emplace(service, RetryBudget(policy)).first->second;
+    return policy;
+}
+
+RetryBudget &GatewayContext::budget(const ServiceName &service)
+{
+    const auto it = m_budgets.find(service);
+    if (it != m_budgets.end())
+        return it->second;
+    return m_budgets.emplace(service, RetryBudget(budgetPolicy())).first->second;
 }
 
 void GatewayContext::onRequest(const ServiceName &service, Instant now)
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -66,6 +66,7 @@
 
 private:
     [[nodiscard]] RetryBudget &budget(const ServiceName &service);
+    [[nodiscard]] RetryBudgetPolicy budgetPolicy() const;
 
     ForwardingHeaders m_headers;
     RetryPolicy m_retryPolicy;
--- a/packages/coordination/ggv/coordination/node/node.cpp
+++ b/packages/coordination/ggv/coordination/node/node.cpp
@@ -4,6 +4,7 @@
 #include <ggv/coordination/observability/metrics.hpp>
 #include <ggv/coordination/observability/trace.hpp>
 #include <ggv/coordination/operators/operator_api.hpp>
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/state/model/register_toml.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
@@ -12,8 +13,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 namespace {
@@ -63,7 +62,7 @@
     {
         if (m_phase != ShutdownPhase::Serving)
             return;
-        LOG(INFO) << "node: shutdown begins, leaving the look-ups";
+        logEvent(LogLevel::Info, "shutdown-begun");
         m_phase = ShutdownPhase::WaitingForLookups;
         m_shutdownAt = monotonicNow();
         m_metrics.onDrainBegin(m_shutdownAt);
@@ -77,7 +76,7 @@
         const Instant now = monotonicNow();
         if (m_phase == ShutdownPhase::WaitingForLookups
             && now - m_shutdownAt > AnnounceTime + LookupLifetime) {
-            LOG(INFO) << "node: cached look-ups have expired, finishing requests";
+            logEvent(LogLevel::Info, "shutdown-finishing-requests");
             m_phase = ShutdownPhase::FinishingRequests;
             m_entry->closeAfterAnswers();
             m_busyAt = now;
@@ -191,7 +190,7 @@
             m_busyAt = now;
         if (now - m_busyAt < QuietTime)
             return;
-        LOG(INFO) << "node: all requests are finished";
+        logEvent(LogLevel::Info, "shutdown-finished");
         m_metrics.onDrainEnd(now);
         m_entry->stopAccepting();
         m_phase = ShutdownPhase::Finished;
--- a/packages/coordination/ggv/coordination/operators/operator_api.cpp
+++ b/packages/coordination/ggv/coordination/operators/operator_api.cpp
@@ -6,6 +6,7 @@
 #include <ggv/coordination/operators/status_json.hpp>
 #include <ggv/protocol/codec/change_codec.hpp>
 #include <ggv/protocol/codec/register_codec.hpp>
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/state/model/register_delta.hpp>
 #include <ggv/state/model/register_toml.hpp>
 #include <ggv/state/request/http_status.hpp>
@@ -20,7 +21,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -30,6 +30,15 @@
 
 namespace {
 
+void logChange(const std::string &id, const std::string &author, const ChangeAnswer &answer)
+{
+    logEvent(LogLevel::Info, "register-change",
+             { { "change", id },
+               { "author", author },
+               { "outcome", std::string(resultCodeName(answer.code)) },
+               { "version", answer.version } });
+}
+
 constexpr Duration ChangeDeadline = std::chrono::seconds(5);
 constexpr Duration CatchUpTime = std::chrono::seconds(2);
 constexpr auto CatchUpPause = std::chrono::milliseconds(20);
@@ -278,8 +287,7 @@
         co_await catchUp(expected);
         addDelta(command, document.content);
         const ChangeAnswer answer = co_await propose(command);
-        LOG(INFO) << "operators: change '" << *id << "' of " << name << ": "
-                  << resultCodeName(answer.code) << ", version " << answer.version;
+        logChange(*id, name, answer);
         co_await caller.answer(jsonAnswer(
             answer.code == ResultCode::Ok ? 200 : httpStatusOf(answer.code), changeJson(answer)));
     }
--- a/packages/coordination/ggv/coordination/peer/peer_network.cpp
+++ b/packages/coordination/ggv/coordination/peer/peer_network.cpp
@@ -2,13 +2,12 @@
 
 #include <ggv/protocol/codec/codec.hpp>
 #include <ggv/protocol/codec/peer_codec.hpp>
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
 #include <map>
 #include <set>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 namespace {
@@ -192,7 +191,7 @@
         if (error.code() == ResultCode::PeerNotInRegister
             || error.code() == ResultCode::NotAuthorized
             || error.code() == ResultCode::ProtocolViolation)
-            LOG(WARNING) << "peer: connection refused: " << error.what();
+            logEvent(LogLevel::Warning, "peer-refused", { { "reason", error.what() } });
         const auto it = m_links.find(link->peer.host);
         if (it == m_links.end() || it->second != link)
             return;
--- a/packages/coordination/ggv/coordination/quorum/quorum.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -1,12 +1,12 @@
 #include <ggv/coordination/quorum/quorum.hpp>
+#include <ggv/state/log/event_log.hpp>
 
+#include <cstdlib>
 #include <unordered_map>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 class Quorum::Implementation : public std::enable_shared_from_this<Quorum::Implementation>
@@ -26,8 +26,10 @@
         try {
             return function(*m_raft);
         } catch (const Error &error) {
-            LOG(FATAL) << "quorum " << m_setup.name << ": storage failed: " << error.what();
-            throw;
+            logEvent(LogLevel::Error, "storage-failed",
+                     { { "quorum", m_setup.name }, { "reason", error.what() } });
+            flushEventLog();
+            std::abort();
         }
     }
 
@@ -68,8 +70,12 @@
     void logLeadership() const
     {
         const auto status = m_raft->status();
-        LOG(INFO) << "quorum " << m_setup.name << ": term " << status.term << ", leader "
-                  << status.leader << (status.role == RaftRole::Leader ? " (this host)" : "");
+        logEvent(LogLevel::Info, "leader-changed",
+                 { { "quorum", m_setup.name },
+                   { "term", status.term },
+                   { "leader", status.leader },
+                   { "self", status.role == RaftRole::Leader },
+                   { "voters", status.voters.size() } });
     }
 
     void armTimer()
--- a/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
@@ -1,12 +1,11 @@
 #include <ggv/coordination/quorum/quorum_set.hpp>
 
 #include <ggv/coordination/node/host_identity.hpp>
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
 #include <algorithm>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 namespace {
@@ -135,8 +134,8 @@
         wanted.push_back(it->second);
         if (ggv::contains(status.voters, it->second) || ggv::contains(status.learners, it->second))
             continue;
-        LOG(INFO) << "quorum " << (group.empty() ? "control" : group) << ": takes in host "
-                  << host.text();
+        logEvent(LogLevel::Info, "member-added",
+                 { { "quorum", group.empty() ? "control" : group }, { "host", host.text() } });
         quorum->addMember(it->second);
         return;
     }
@@ -147,8 +146,10 @@
         });
         if (!replaced || !complete)
             continue;
-        LOG(INFO) << "quorum " << (group.empty() ? "control" : group) << ": removes member "
-                  << member << " of host " << hostOf(member).text();
+        logEvent(LogLevel::Info, "member-removed",
+                 { { "quorum", group.empty() ? "control" : group },
+                   { "host", hostOf(member).text() },
+                   { "member", member } });
         quorum->removeMember(member);
         return;
     }
--- a/packages/coordination/test/programs/standin_target.cpp
+++ b/packages/coordination/test/programs/standin_target.cpp
@@ -19,7 +19,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <popt.h>
 
@@ -185,8 +184,6 @@
 
 int main(int argc, char **argv)
 {
-    google::InitGoogleLogging(argv[0]);
-    FLAGS_logtostderr = true;
     char *registerPath = nullptr;
     char *domain = nullptr;
     int serviceTime = 5;
--- a/packages/greengagevalved/main.cpp
+++ b/packages/greengagevalved/main.cpp
@@ -1,6 +1,7 @@
 #include <ggv/coordination/node/node.hpp>
 #include <ggv/coordination/version.hpp>
 #include <ggv/platform/platform_process.hpp>
+#include <ggv/state/log/event_log.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -11,7 +12,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <glog/logging.h>
 #include <popt.h>
 
 namespace {
@@ -95,8 +95,9 @@
             if (ec)
                 return;
             if (m_leaving) {
-                LOG(ERROR) << "node: second signal, requests in flight are cut";
-                google::FlushLogFiles(google::INFO);
+                ggv::logEvent(ggv::LogLevel::Error, "shutdown-forced",
+                              { { "reason", "second signal, requests in flight are cut" } });
+                ggv::flushEventLog();
                 std::_Exit(ExitSecondSignal);
             }
             m_leaving = true;
@@ -140,14 +141,20 @@
         std::cout << "settings are valid\n";
         return 0;
     }
+    ggv::startEventLog(settings.value().host.text());
+    ggv::logEvent(ggv::LogLevel::Info, "process-started",
+                  { { "settings", arguments.settingsPath } });
     auto node = ggv::Node::start({ settings.value(), arguments.initialize });
     if (!node) {
-        LOG(ERROR) << "node: cannot start: " << node.error().what();
+        ggv::logEvent(ggv::LogLevel::Error, "start-failed", { { "reason", node.error().what() } });
+        ggv::flushEventLog();
         return ExitStart;
     }
     boost::asio::io_context context(1);
     const SignalGuard guard(context, *node.value());
     context.run();
+    ggv::logEvent(ggv::LogLevel::Info, "process-ended", { { "exit_code", 0 } });
+    ggv::flushEventLog();
     return 0;
 }
 
@@ -155,8 +162,6 @@
 
 int main(int argc, char **argv)
 {
-    google::InitGoogleLogging(argv[0]);
-    FLAGS_logtostderr = true;
     Arguments arguments;
     if (!parseArguments(argc, const_cast<const char **>(argv), arguments)) // NOLINT: popt's type.
         return ExitUsage;
@@ -167,7 +172,8 @@
     try {
         return serve(arguments);
     } catch (const std::exception &error) {
-        LOG(ERROR) << "node: ended by a fault: " << error.what();
+        ggv::logEvent(ggv::LogLevel::Error, "process-failed", { { "reason", error.what() } });
+        ggv::flushEventLog();
         return ExitStart;
     }
 }
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -87,7 +87,7 @@
     std::uint64_t revision = 0; //!< Position of the newest accepted change.
     std::optional<Bytes> configuration; //!< Operators' document; absent if the receiver has it.
     std::vector<FailureDomainName> evacuated; //!< Their targets get no requests.
-    std::uint32_t entryHosts = 1; //!< That are alive.
+    std::uint32_t entryHosts = 1; //!< That were heard lately, so that some may be cut off.
     std::vector<HostAnnouncement> controlHosts; //!< That are alive.
 
     [[nodiscard]] auto operator<=>(const FleetFeed &) const = default;
--- a/packages/state/ggv/state/admission/retry_budget.cpp
+++ b/packages/state/ggv/state/admission/retry_budget.cpp
@@ -9,6 +9,12 @@
     , m_tokens(policy.burst)
 { }
 
+void RetryBudget::setPolicy(const RetryBudgetPolicy &policy) noexcept
+{
+    m_policy = policy;
+    m_tokens = std::min(m_tokens, policy.burst);
+}
+
 void RetryBudget::onRequest(Instant now) noexcept
 {
     refill(now);
--- a/packages/state/ggv/state/admission/retry_budget.hpp
+++ b/packages/state/ggv/state/admission/retry_budget.hpp
@@ -27,6 +27,9 @@
     //! @param policy Parameters.
     explicit RetryBudget(const RetryBudgetPolicy &policy = {}) noexcept;
 
+    //! Changes the parameters; unused retries beyond the new burst are lost.
+    void setPolicy(const RetryBudgetPolicy &policy) noexcept;
+
     //! Notes a request's first attempt.
     void onRequest(Instant now) noexcept;
 
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -12,9 +12,11 @@
 //! agree on it, so that they send an object to the same target.
 constexpr double OwnRegionWeight = 10.0;
 //! Part of the time left that a request may wait for a slot, for the most important requests.
-constexpr double MaxWaitShare = 0.5;
+constexpr double MaxWaitShare = 0.7;
 //! Each step of priority gives up this much of it.
 constexpr double WaitSharePerPriority = 0.1;
+//! A target that has to learn an object first takes room from the others.
+constexpr double UnknownPenalty = 3.0;
 //! Each target that affinity prefers makes the next one this much dearer, in service times.
 constexpr double RankPenalty = 0.02;
 constexpr std::size_t MaxRankPenalty = 10;
@@ -306,8 +308,8 @@
     const double excess = std::max(0.0, target.load(now) + 1.0 - slots);
     const double wait = excess / slots * times.known;
     const auto steps = static_cast<double>(std::min<std::size_t>(rank, MaxRankPenalty));
-    const double service
-        = (knows || !sticky ? times.known : times.unknown) + steps * RankPenalty * times.unknown;
+    const double service = (knows || !sticky ? times.known : UnknownPenalty * times.unknown)
+        + steps * RankPenalty * times.unknown;
     return { &candidate, rank, Duration(static_cast<Duration::rep>(wait)),
              Duration(static_cast<Duration::rep>(wait + service)), knows };
 }
--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -1,5 +1,6 @@
 #include <ggv/transport/http/detail/server_connection.hpp>
 
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/http/detail/beast_heads.hpp>
 #include <ggv/transport/http/detail/operation_timer.hpp>
 #include <ggv/transport/net/detail/silence_bound.hpp>
@@ -15,8 +16,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv::detail {
 
 namespace asio = boost::asio;
@@ -364,7 +363,7 @@
         } catch (const Error &error) {
             fault = error;
         } catch (const std::exception &error) {
-            LOG(ERROR) << "http: handler failed: " << error.what();
+            logEvent(LogLevel::Error, "http-handler-failed", { { "reason", error.what() } });
             fault = Error(ResultCode::Internal, "internal fault");
         }
         if (fault && !m_answerStarted && fault->code() != ResultCode::CallerCancelled)
@@ -426,7 +425,7 @@
     try {
         co_await connection->run();
     } catch (const std::exception &error) {
-        LOG(ERROR) << "http: connection ended: " << error.what();
+        logEvent(LogLevel::Error, "http-connection-failed", { { "reason", error.what() } });
     }
 }
 
--- a/packages/transport/ggv/transport/http/http_server.cpp
+++ b/packages/transport/ggv/transport/http/http_server.cpp
@@ -1,3 +1,4 @@
+#include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/http/detail/server_connection.hpp>
 #include <ggv/transport/http/http_server.hpp>
 
@@ -12,8 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 namespace asio = boost::asio;
@@ -81,7 +80,7 @@
 
     asio::awaitable<void> pauseAccepting(boost::system::error_code reason)
     {
-        LOG(WARNING) << "http: cannot accept: " << reason.message();
+        logEvent(LogLevel::Warning, "accept-failed", { { "reason", reason.message() } });
         asio::steady_timer timer(m_pool.context(0), AcceptRetryPause);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/packages/transport/ggv/transport/net/frame_connection.cpp
+++ b/packages/transport/ggv/transport/net/frame_connection.cpp
@@ -11,8 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <glog/logging.h>
-
 namespace ggv {
 
 namespace asio = boost::asio;
