--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 //! Part of the grace in which callers that cached this host's address are still served as usual.
-constexpr double ServeShare = 0.4;
+constexpr double ServeShare = 0.2;
 //! Part of the grace after which no connection is accepted any more.
 constexpr double AcceptShare = 0.75;
 //! Part of the grace after which the process ends whatever is left.
@@ -206,7 +206,10 @@
 
 void Gateway::beginShutdown()
 {
-    m_implementation->m_endingSince = monotonicNow();
+    const Instant now = monotonicNow();
+    m_implementation->m_endingSince = now;
+    m_implementation->m_context.setEndsAt(
+        now + part(m_implementation->m_setup.shutdownGrace, EndShare));
     m_implementation->m_link->setReady(false);
 }
 
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -51,6 +51,10 @@
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     //! Takes in how many entry hosts share targets and budgets.
     void setEntryHosts(std::size_t count);
+    //! This process ends then, so that it takes nothing that may last longer.
+    void setEndsAt(Instant instant) noexcept { m_endsAt = instant; }
+    //! @return When this process ends.
+    [[nodiscard]] Instant endsAt() const noexcept { return m_endsAt; }
     //! Counts a request for a service.
     void onRequest(const ServiceName &service, Instant now);
     //! Asks for one more send of a request and counts it if allowed.
@@ -77,6 +81,7 @@
     std::map<ServiceName, RetryBudget> m_budgets;
     std::size_t m_entryHosts = 1;
     GatewayCounters m_counters;
+    Instant m_endsAt = Instant::max();
 };
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -22,6 +22,7 @@
 //! Answers up to this size are read whole before they are passed on, so that a cut one can be
 //! replaced.
 constexpr std::size_t BufferedAnswerBytes = 64UL * 1024;
+constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(5);
 constexpr std::size_t ChunkBytes = 16UL * 1024;
 constexpr std::uint32_t MaxConnectFailures = 3;
 constexpr std::uint32_t MaxRefusals = 3;
@@ -35,6 +36,7 @@
 constexpr double RetryAfterJitter = 1.0;
 // Reasons in logs.
 constexpr const char *NoConfiguration = "no-configuration";
+constexpr const char *HostLeaving = "host-leaving";
 constexpr const char *TargetsFull = "targets-full";
 constexpr const char *NotExecuted = "not-executed";
 
@@ -124,6 +126,10 @@
         co_await m_caller.answer(std::move(answer));
         co_return;
     }
+    if (m_deadline > m_context.endsAt()) {
+        co_await refuse(StatusUnavailable, HostLeaving);
+        co_return;
+    }
     if (!co_await receiveBody())
         co_return;
     co_await forward();
@@ -458,7 +464,9 @@
 {
     ++m_context.counters().refused;
     logEnd(LogLevel::Warning, "request-refused", status, reason);
-    const Duration base = m_context.targets().retryAfter(m_demand.service);
+    // Another host can take it at once.
+    const Duration base = reason == HostLeaving ? LeavingRetryAfter
+                                                : m_context.targets().retryAfter(m_demand.service);
     const double factor = 1.0 + RetryAfterJitter * uniformFraction(m_context.random());
     const Duration wait(static_cast<Duration::rep>(static_cast<double>(base.count()) * factor));
     HttpAnswer answer = textAnswer(status, "the request has not run\n");
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -126,6 +126,8 @@
         return socket.readToEnd();
     }
 
+    void endAfter(ggv::Duration time) { m_context.setEndsAt(ggv::monotonicNow() + time); }
+
     std::size_t runs() const
     {
         std::size_t count = 0;
@@ -236,6 +238,7 @@
     CPPUNIT_TEST(theTargetGetsTheTimeThatIsLeft);
     CPPUNIT_TEST(aCallerThatLeavesEndsTheWork);
     CPPUNIT_TEST(unknownPathsAndMissingRules);
+    CPPUNIT_TEST(aHostThatEndsTakesOnlyWhatItCanFinish);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -350,6 +353,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, empty.runs());
     }
 
+    void aHostThatEndsTakesOnlyWhatItCanFinish()
+    {
+        GatewayWorld world;
+        world.addTarget(good);
+        world.endAfter(milliseconds(1500));
+        world.start(RequestKind::NonIdempotent, 2);
+        const auto refusal = world.call("2500");
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), refusal.substr(9, 3));
+        CPPUNIT_ASSERT(refusal.find("Retry-After: 0.0") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, world.runs());
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), world.call("500").substr(9, 3));
+    }
+
 private:
     template <typename Condition>
     static void waitUntil(Condition condition)
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-//! Share of objects of a target in the own region, relative to one elsewhere. All hosts of a region
-//! agree on it, so that they send an object to the same target.
-constexpr double OwnRegionWeight = 10.0;
+//! The own region takes this many times its share of the service's slots, if all regions ask alike.
+constexpr double OwnRegionShare = 1.05;
+//! Part of the objects that stay in the own region at most.
+constexpr double MaxOwnRegionShare = 0.95;
 //! Part of the time left that a request may wait for a slot, for the most important requests.
 constexpr double MaxWaitShare = 0.7;
 //! Each step of priority gives up this much of it.
@@ -206,11 +207,30 @@
     return target.m_health.state(now) != HealthState::Down;
 }
 
-double TargetPool::localWeight(const PooledTarget &target) const
+bool TargetPool::isInOwnRegion(const PooledTarget &target) const
 {
-    const double slots = target.m_listing.slots;
-    const bool own = target.m_region == m_topology.regionOf(m_topology.ownDomain);
-    return own ? slots * OwnRegionWeight : slots;
+    return target.m_region == m_topology.regionOf(m_topology.ownDomain);
+}
+
+// Weight of a slot in the own region, relative to one elsewhere. It rests on the list alone, so
+// that all hosts of a region send an object to the same target.
+double TargetPool::ownRegionWeight(const Candidates &candidates) const
+{
+    double own = 0.0;
+    double elsewhere = 0.0;
+    for (const auto &it : candidates) {
+        const bool counts = !it->m_listing.leaving && !m_evacuated.contains(it->m_listing.domain);
+        if (counts)
+            (isInOwnRegion(*it) ? own : elsewhere) += it->m_listing.slots;
+    }
+    if (own <= 0.0 || elsewhere <= 0.0)
+        return 1.0;
+    std::set<RegionName> regions;
+    for (const auto &[domain, region] : m_topology.regions)
+        regions.insert(region);
+    const double fair = own / (own + elsewhere) * static_cast<double>(regions.size());
+    const double share = std::min(MaxOwnRegionShare, OwnRegionShare * fair);
+    return share / (1.0 - share) * elsewhere / own;
 }
 
 std::vector<TargetPool::Ranked> TargetPool::rank(const TargetDemand &demand, Instant now,
@@ -222,6 +242,12 @@
         return ranked;
     const bool sticky = demand.route->sticky && demand.object.has_value();
     const std::uint64_t object = sticky ? *demand.object : random();
+    const double ownWeight = ownRegionWeight(service->second);
+    const auto rankOf = [&](const PooledTarget &target) {
+        const double slots = target.m_listing.slots;
+        return rankTarget(object, target.m_digest,
+                          isInOwnRegion(target) ? slots * ownWeight : slots);
+    };
     std::size_t down = 0;
     std::size_t usable = 0;
     for (const auto &target : service->second) {
@@ -232,15 +258,14 @@
             ++down;
             continue;
         }
-        ranked.push_back({ rankTarget(object, target->m_digest, localWeight(*target)), target });
+        ranked.push_back({ rankOf(*target), target });
     }
     const bool panic = static_cast<double>(down) > MaxDownShare * static_cast<double>(usable);
     if (panic) {
         ranked.clear();
         for (const auto &target : service->second) {
             if (mayServe(*target, demand, now))
-                ranked.push_back(
-                    { rankTarget(object, target->m_digest, localWeight(*target)), target });
+                ranked.push_back({ rankOf(*target), target });
         }
     }
     std::sort(ranked.begin(), ranked.end(),
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -191,7 +191,8 @@
     [[nodiscard]] bool mayServe(const PooledTarget &target, const TargetDemand &demand,
                                 Instant now) const;
     [[nodiscard]] bool isHealthy(const PooledTarget &target, Instant now) const;
-    [[nodiscard]] double localWeight(const PooledTarget &target) const;
+    [[nodiscard]] double ownRegionWeight(const Candidates &candidates) const;
+    [[nodiscard]] bool isInOwnRegion(const PooledTarget &target) const;
     [[nodiscard]] std::vector<Ranked> rank(const TargetDemand &demand, Instant now,
                                            RandomSource &random) const;
     //! A target that could take a request, and what that would cost.
