Elect within 0.3 to 0.6 s and let requests wait for the first rules after a start

Cause: after all machines lost power, entry hosts refused 375 requests in two seconds for want of a configuration, which came with the election. Ruled out: reading from the disk (0.02 s).

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -35,9 +35,9 @@
 constexpr Duration ListPatience = std::chrono::milliseconds(1600);
 //! Further patience, drawn by each host, so that not all read at once.
 constexpr Duration ListJitter = std::chrono::milliseconds(500);
-constexpr Duration HeartbeatInterval = std::chrono::milliseconds(100);
-constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(500);
-constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds(1000);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(80);
+constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(300);
+constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds(600);
 constexpr Duration OrderTimeout = std::chrono::milliseconds(2500);
 
 //! A connection that another host opened.
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -138,7 +138,7 @@
 
     void apply(const TargetList &list, Duration age)
     {
-        m_context.targets().update(list, age, monotonicNow());
+        m_context.setTargets(list, age);
         std::size_t leaving = 0;
         for (const auto &it : list.targets)
             leaving += it.leaving ? 1 : 0;
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace ggv {
 
 namespace {
@@ -23,12 +26,43 @@
     , m_targets(std::move(topology))
     , m_connections(loop, MaxIdlePerTarget, TargetIdleTimeout)
     , m_random(randomNumber())
+    , m_loop(loop)
 { }
 
+bool GatewayContext::hasRules() const noexcept { return m_routes && m_targets.hasList(); }
+
+boost::asio::awaitable<void> GatewayContext::awaitRules(Instant until)
+{
+    if (hasRules() || monotonicNow() >= until)
+        co_return;
+    boost::asio::steady_timer timer(m_loop);
+    timer.expires_after(until - monotonicNow());
+    const auto place = m_waiting.insert(m_waiting.end(), &timer);
+    boost::system::error_code woken;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, woken));
+    if (!woken)
+        m_waiting.erase(place);
+}
+
+void GatewayContext::wakeWaiting()
+{
+    if (!hasRules())
+        return;
+    for (auto *timer : std::exchange(m_waiting, {}))
+        timer->cancel();
+}
+
+void GatewayContext::setTargets(const TargetList &list, Duration age)
+{
+    m_targets.update(list, age, monotonicNow());
+    wakeWaiting();
+}
+
 void GatewayContext::setRoutes(std::shared_ptr<const RouteTable> routes)
 {
     m_routes = std::move(routes);
     m_targets.setRules(m_routes->rules());
+    wakeWaiting();
 }
 
 void GatewayContext::setEntryHosts(std::size_t count)
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -8,8 +8,14 @@
 #include <ggv/transport/http/http_client.hpp>
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace ggv {
 
@@ -47,6 +53,10 @@
     {
         return m_routes;
     }
+    //! Waits until rules and a list of targets are there, at most until an instant.
+    [[nodiscard]] boost::asio::awaitable<void> awaitRules(Instant until);
+    //! Takes in a newer reading of the platform's list.
+    void setTargets(const TargetList &list, Duration age);
     //! Puts rules in force.
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     //! Takes in how many entry hosts share targets and budgets.
@@ -69,6 +79,8 @@
     std::function<Duration()> listAge = [] { return Duration(0); };
 
 private:
+    [[nodiscard]] bool hasRules() const noexcept;
+    void wakeWaiting();
     [[nodiscard]] RetryBudget &budget(const ServiceName &service);
     [[nodiscard]] RetryBudgetPolicy budgetPolicy() const;
 
@@ -81,6 +93,8 @@
     std::map<ServiceName, RetryBudget> m_budgets;
     std::size_t m_entryHosts = 1;
     GatewayCounters m_counters;
+    boost::asio::io_context &m_loop;
+    std::list<boost::asio::steady_timer *> m_waiting; //!< Of requests that wait for rules.
     Instant m_endsAt = Instant::max();
 };
 
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -23,6 +23,9 @@
 //! replaced.
 constexpr std::size_t BufferedAnswerBytes = 64UL * 1024;
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(5);
+//! Part of a caller's time, and longest time, for which a request waits for the first rules.
+constexpr int RulesPatiencePart = 3;
+constexpr Duration MaxRulesPatience = std::chrono::seconds(1);
 constexpr std::size_t ChunkBytes = 16UL * 1024;
 constexpr std::uint32_t MaxConnectFailures = 3;
 constexpr std::uint32_t MaxRefusals = 3;
@@ -116,6 +119,8 @@
 asio::awaitable<void> GatewayRequest::run()
 {
     ++m_context.counters().requests;
+    co_await m_context.awaitRules(m_startedAt + rulesPatience());
+    m_routes = m_context.routes();
     if (!m_routes) {
         co_await refuse(StatusUnavailable, NoConfiguration);
         co_return;
@@ -135,6 +140,17 @@
     co_await forward();
 }
 
+// Time that the request waits for rules after this process has started.
+Duration GatewayRequest::rulesPatience() const
+{
+    const auto *text = findHeader(m_caller.head().headers, m_context.headers().deadline);
+    const auto millis = text == nullptr ? std::nullopt : numberOf(*text);
+    if (!millis || *millis <= 0)
+        return MaxRulesPatience;
+    return std::min<Duration>(MaxRulesPatience,
+                              std::chrono::milliseconds(*millis) / RulesPatiencePart);
+}
+
 bool GatewayRequest::plan()
 {
     const auto &head = m_caller.head();
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -40,6 +40,7 @@
         CallerGone,
     };
 
+    [[nodiscard]] Duration rulesPatience() const;
     [[nodiscard]] bool plan();
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] boost::asio::awaitable<bool> receiveBody();
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -98,7 +98,7 @@
     // Starts with one route that allows the given number of attempts.
     void start(RequestKind kind, std::uint32_t attempts, bool withRules = true)
     {
-        m_context.targets().update(list(), ggv::Duration(0), ggv::monotonicNow());
+        m_context.setTargets(list(), ggv::Duration(0));
         if (withRules)
             m_context.setRoutes(routes(kind, attempts));
         m_server = ggv::HttpServer::listen(
@@ -126,6 +126,12 @@
         return socket.readToEnd();
     }
 
+    void setRules(RequestKind kind)
+    {
+        boost::asio::post(m_pool.context(0),
+                          [this, kind] { m_context.setRoutes(routes(kind, 2)); });
+    }
+
     void endAfter(ggv::Duration time) { m_context.setEndsAt(ggv::monotonicNow() + time); }
 
     std::size_t runs() const
@@ -238,6 +244,7 @@
     CPPUNIT_TEST(theTargetGetsTheTimeThatIsLeft);
     CPPUNIT_TEST(aCallerThatLeavesEndsTheWork);
     CPPUNIT_TEST(unknownPathsAndMissingRules);
+    CPPUNIT_TEST(aRequestWaitsForTheFirstRules);
     CPPUNIT_TEST(aHostThatEndsTakesOnlyWhatItCanFinish);
     CPPUNIT_TEST_SUITE_END();
 
@@ -353,6 +360,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, empty.runs());
     }
 
+    void aRequestWaitsForTheFirstRules()
+    {
+        GatewayWorld world;
+        world.addTarget(good);
+        world.start(RequestKind::Idempotent, 2, false);
+        auto caller = world.send("2900");
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(!caller.hasData());
+        world.setRules(RequestKind::Idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), caller.readToEnd().substr(9, 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, world.runs());
+    }
+
     void aHostThatEndsTakesOnlyWhatItCanFinish()
     {
         GatewayWorld world;
