Keep waiting requests' timers alive until their handlers have run

Ruled out: full disks, memory over the limit (both are logged). The test crashes without the change.

--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -35,20 +35,20 @@
 {
     if (hasRules() || monotonicNow() >= until)
         co_return;
-    boost::asio::steady_timer timer(m_loop);
-    timer.expires_after(until - monotonicNow());
-    const auto place = m_waiting.insert(m_waiting.end(), &timer);
+    // Shared, as the timer may have expired before the rules came and resume after them.
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop);
+    timer->expires_after(until - monotonicNow());
+    m_waiting.push_back(timer);
     boost::system::error_code woken;
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, woken));
-    if (!woken)
-        m_waiting.erase(place);
+    co_await timer->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, woken));
+    m_waiting.remove(timer);
 }
 
 void GatewayContext::wakeWaiting()
 {
     if (!hasRules())
         return;
-    for (auto *timer : std::exchange(m_waiting, {}))
+    for (const auto &timer : std::exchange(m_waiting, {}))
         timer->cancel();
 }
 
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -94,7 +94,8 @@
     std::size_t m_entryHosts = 1;
     GatewayCounters m_counters;
     boost::asio::io_context &m_loop;
-    std::list<boost::asio::steady_timer *> m_waiting; //!< Of requests that wait for rules.
+    std::list<std::shared_ptr<boost::asio::steady_timer>>
+        m_waiting; //!< Of requests that wait for rules.
     Instant m_endsAt = Instant::max();
 };
 
--- /dev/null
+++ b/packages/coordination/test/gateway/gateway_context_test.cpp
@@ -0,0 +1,100 @@
+#include <ggv/coordination/gateway/gateway_context.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace {
+
+using ggv::Duration;
+using ggv::GatewayContext;
+using ggv::Instant;
+using std::chrono::milliseconds;
+
+class GatewayContextTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayContextTest);
+    CPPUNIT_TEST(rulesWakeThoseThatWait);
+    CPPUNIT_TEST(waitingEndsByItself);
+    CPPUNIT_TEST(rulesThatComeAsTheWaitEnds);
+    CPPUNIT_TEST(budgetsFollowTheNumberOfHosts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void rulesWakeThoseThatWait()
+    {
+        for (int n = 0; n < 3; ++n)
+            wait(std::chrono::seconds(20));
+        m_loop.run_for(milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(0, m_ended);
+        giveRules();
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(3, m_ended);
+    }
+
+    void waitingEndsByItself()
+    {
+        wait(milliseconds(5));
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(1, m_ended);
+        giveRules();
+    }
+
+    // All timers have expired and their handlers are queued; the first one gives the rules.
+    void rulesThatComeAsTheWaitEnds()
+    {
+        for (int n = 0; n < 100; ++n)
+            wait(milliseconds(5));
+        m_loop.poll();
+        std::this_thread::sleep_for(milliseconds(20));
+        m_firstGivesRules = true;
+        m_loop.restart();
+        m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(100, m_ended);
+    }
+
+    void budgetsFollowTheNumberOfHosts()
+    {
+        const ggv::ServiceName service("s");
+        const Instant now(std::chrono::seconds(100));
+        m_context.onRequest(service, now);
+        m_context.setEntryHosts(10);
+        int retries = 0;
+        while (m_context.tryRetry(service, now))
+            ++retries;
+        // A tenth of 100 in a window, of which 0.7 are used and half may be saved up.
+        CPPUNIT_ASSERT_EQUAL(3, retries);
+    }
+
+private:
+    void wait(Duration time)
+    {
+        boost::asio::co_spawn(m_loop, waitUntil(ggv::monotonicNow() + time), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> waitUntil(Instant until)
+    {
+        co_await m_context.awaitRules(until);
+        if (++m_ended == 1 && m_firstGivesRules)
+            giveRules();
+    }
+
+    void giveRules()
+    {
+        m_context.setTargets({}, Duration(0));
+        m_context.setRoutes(std::make_shared<const ggv::RouteTable>(
+            ggv::RouteTable::create(ggv::RouteRules()).value()));
+    }
+
+    boost::asio::io_context m_loop;
+    GatewayContext m_context { m_loop, {}, {}, { 0.2, std::chrono::seconds(10), 100.0 } };
+    int m_ended = 0;
+    bool m_firstGivesRules = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayContextTest);
+
+} // namespace
