--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -409,7 +409,6 @@
 
     asio::awaitable<void> readListLoop()
     {
-        const auto self = shared_from_this();
         asio::steady_timer timer(m_context);
         while (true) {
             if (listIsDue(monotonicNow()))
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -15,7 +15,7 @@
 //! Below the idle time after which targets usually close.
 constexpr Duration TargetIdleTimeout = std::chrono::seconds(7);
 //! Part of the budget that is used: the window may slide over more than one refill.
-constexpr double BudgetShare = 0.7;
+constexpr double BudgetShare = 0.9;
 
 } // namespace
 
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -26,7 +26,7 @@
 //! Part of a caller's time, and longest time, for which a request waits for the first rules.
 constexpr int RulesPatiencePart = 3;
 constexpr Duration MaxRulesPatience = std::chrono::seconds(1);
-constexpr std::size_t ChunkBytes = 16UL * 1024;
+constexpr std::size_t ChunkBytes = 4UL * 1024;
 constexpr std::uint32_t MaxConnectFailures = 3;
 constexpr std::uint32_t MaxRefusals = 3;
 constexpr std::uint16_t StatusNotFound = 404;
--- a/packages/state/ggv/state/log/event_log.cpp
+++ b/packages/state/ggv/state/log/event_log.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t QueuedLines = 4096;
+constexpr std::size_t QueuedLines = 1024;
 constexpr auto FlushTime = std::chrono::milliseconds(300);
 constexpr auto FlushPoll = std::chrono::milliseconds(10);
 
--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -28,7 +28,7 @@
 //! Longest time and most bytes that an unread request body is drained before the close.
 constexpr auto LingerTime = std::chrono::seconds(1);
 constexpr std::size_t LingerBytes = 1024UL * 1024;
-constexpr std::size_t ReadChunkBytes = 16UL * 1024;
+constexpr std::size_t ReadChunkBytes = 4UL * 1024;
 
 using RequestParser = http::request_parser<http::buffer_body>;
 using AnswerMessage = http::response<http::buffer_body>;
