--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -15,6 +15,10 @@
 #include <algorithm>
 #include <set>
 
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -407,6 +411,32 @@
         }
     }
 
+    std::string metricsText() const
+    {
+        const Instant now = monotonicNow();
+        const auto status = m_quorum->status();
+        prometheus::Registry registry;
+        const auto add = [&registry](const char *name, const char *help, double value) {
+            prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
+        };
+        add("ggv_control_version", "Version of the configuration that is applied",
+            static_cast<double>(m_machine.state().version));
+        add("ggv_control_leads", "1 while a majority confirms this host as leader",
+            m_quorum->hasLeaderLease() ? 1 : 0);
+        add("ggv_control_term", "Term of the quorum", static_cast<double>(status.term));
+        add("ggv_control_voters", "Voters of the quorum",
+            static_cast<double>(status.voters.size()));
+        add("ggv_control_commit_index", "Last committed entry",
+            static_cast<double>(status.commitIndex));
+        add("ggv_control_entry_hosts", "Entry hosts that are alive",
+            static_cast<double>(m_directory.alive(HostRole::Entry, now).size()));
+        add("ggv_control_list_age_seconds", "Since the list of targets was read",
+            std::chrono::duration<double>(m_list.age(now)).count());
+        add("ggv_log_lines_dropped", "Log lines that nobody read in time",
+            static_cast<double>(droppedLogLines()));
+        return prometheus::TextSerializer().Serialize(registry.Collect());
+    }
+
     asio::awaitable<void> readListLoop()
     {
         asio::steady_timer timer(m_context);
@@ -581,6 +611,8 @@
 
 bool ControlHost::leads() const { return m_implementation->m_quorum->hasLeaderLease(); }
 
+std::string ControlHost::metricsText() const { return m_implementation->metricsText(); }
+
 std::vector<HostAnnouncement> ControlHost::entryHosts() const
 {
     auto hosts = m_implementation->m_directory.alive(HostRole::Entry, monotonicNow());
--- a/packages/coordination/ggv/coordination/fleet/control_host.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.hpp
@@ -64,6 +64,8 @@
     [[nodiscard]] std::optional<Endpoint> otherLeader() const;
     //! @return True if this host leads and a majority confirms it.
     [[nodiscard]] bool leads() const;
+    //! @return All metrics in the text format of Prometheus.
+    [[nodiscard]] std::string metricsText() const;
     //! @return Entry hosts that are alive and take new work.
     [[nodiscard]] std::vector<HostAnnouncement> entryHosts() const;
 
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -149,6 +149,21 @@
         updateReady();
     }
 
+    std::string metricsText()
+    {
+        GatewayGauges gauges;
+        gauges.version = m_context.routes() ? m_context.routes()->version() : 0;
+        gauges.stateAge = m_link->stateAge();
+        gauges.listAge = m_link->listAge();
+        gauges.entryHosts = m_entryHosts;
+        const auto targets = m_context.targets().targets();
+        gauges.targets = targets.size();
+        for (const auto &it : targets)
+            gauges.inFlight += it->inFlight();
+        gauges.ready = ready();
+        return m_context.metrics().text(gauges);
+    }
+
     bool ready() const { return !m_endingSince && m_context.routes() != nullptr && m_hasTargets; }
 
     void updateReady()
@@ -199,6 +214,8 @@
 
 bool Gateway::ready() const { return m_implementation->ready(); }
 
+std::string Gateway::metricsText() const { return m_implementation->metricsText(); }
+
 void Gateway::setSeeds(std::vector<Endpoint> seeds)
 {
     m_implementation->m_link->setSeeds(std::move(seeds));
--- a/packages/coordination/ggv/coordination/gateway/gateway.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.hpp
@@ -43,6 +43,8 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
+    //! @return All metrics in the text format of Prometheus.
+    [[nodiscard]] std::string metricsText() const;
     //! @return True while this host takes new work.
     [[nodiscard]] bool ready() const;
     //! Replaces the addresses of control hosts that are known without asking.
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -102,7 +102,9 @@
 
 bool GatewayContext::tryRetry(const ServiceName &service, Instant now)
 {
-    return budget(service).tryRetry(now);
+    const bool allowed = budget(service).tryRetry(now);
+    m_metrics.onRetry(allowed);
+    return allowed;
 }
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ggv/coordination/gateway/forwarding_headers.hpp>
+#include <ggv/coordination/gateway/gateway_metrics.hpp>
 #include <ggv/state/admission/retry_budget.hpp>
 #include <ggv/state/core/random_source.hpp>
 #include <ggv/state/routing/route_table.hpp>
@@ -29,16 +30,6 @@
     [[nodiscard]] auto operator<=>(const RetryPolicy &) const noexcept = default;
 };
 
-//! Counts of answers by their cause.
-struct GatewayCounters
-{
-    std::uint64_t requests = 0;
-    std::uint64_t served = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t retries = 0;
-};
-
 /**
  * @brief What all requests of an entry host share; belongs to one loop.
  */
@@ -74,7 +65,7 @@
     [[nodiscard]] HttpClientPool &connections() noexcept { return m_connections; }
     [[nodiscard]] RandomSource &random() noexcept { return m_random; }
     [[nodiscard]] const ForwardingHeaders &headers() const noexcept { return m_headers; }
-    [[nodiscard]] GatewayCounters &counters() noexcept { return m_counters; }
+    [[nodiscard]] GatewayMetrics &metrics() noexcept { return m_metrics; }
     //! @return Time since the list of targets was read, for logs.
     std::function<Duration()> listAge = [] { return Duration(0); };
 
@@ -92,7 +83,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::map<ServiceName, RetryBudget> m_budgets;
     std::size_t m_entryHosts = 1;
-    GatewayCounters m_counters;
+    GatewayMetrics m_metrics;
     boost::asio::io_context &m_loop;
     std::list<std::shared_ptr<boost::asio::steady_timer>>
         m_waiting; //!< Of requests that wait for rules.
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -52,6 +52,23 @@
     return number;
 }
 
+std::string_view attemptEndName(TargetOutcome outcome) noexcept
+{
+    switch (outcome) {
+    case TargetOutcome::Success:
+        return "answered";
+    case TargetOutcome::Refused:
+        return "unreachable";
+    case TargetOutcome::Reset:
+        return "failed";
+    case TargetOutcome::TimedOut:
+        return "timed-out";
+    case TargetOutcome::Overloaded:
+        return "not-executed";
+    }
+    return "unlisted";
+}
+
 std::optional<std::string_view> cookieOf(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &header : headers) {
@@ -118,7 +135,6 @@
 
 asio::awaitable<void> GatewayRequest::run()
 {
-    ++m_context.counters().requests;
     co_await m_context.awaitRules(m_startedAt + rulesPatience());
     m_routes = m_context.routes();
     if (!m_routes) {
@@ -212,7 +228,6 @@
 
 void GatewayRequest::noteRetry(AttemptEnd end) const
 {
-    ++m_context.counters().retries;
     logEvent(LogLevel::Info, "request-retried",
              { { "request", m_requestId },
                { "service", m_demand.service.text() },
@@ -418,6 +433,8 @@
 
 void GatewayRequest::endAttempt(std::optional<TargetOutcome> outcome, bool reusable)
 {
+    m_context.metrics().onAttempt(outcome ? attemptEndName(*outcome) : "cancelled",
+                                  monotonicNow() - m_sentAt);
     if (m_choice.target)
         m_context.targets().finish(m_choice, outcome, m_sentAt, monotonicNow());
     if (m_exchange && reusable)
@@ -443,7 +460,6 @@
     }
     if (m_caller.answerStarted()) {
         if (end != AttemptEnd::Answered) {
-            ++m_context.counters().failed;
             logEnd(LogLevel::Warning, "request-failed", 0, "answer-cut");
             m_caller.abort();
         }
@@ -454,11 +470,7 @@
         // A promise that the request has not run is not true of this answer.
         const bool promise = status == StatusUnavailable || status == 429 || status == 408;
         if (!promise) {
-            ++m_context.counters().served;
-            if (status >= 400)
-                logEnd(LogLevel::Warning, "request-answered", status, "target-failed");
-            else if (m_context.counters().served % SuccessSampling == 0)
-                logEnd(LogLevel::Info, "request-answered", status, "sampled");
+            logAnswered(status);
             co_await passKept();
             co_return;
         }
@@ -469,7 +481,6 @@
         co_return;
     }
     const bool late = end == AttemptEnd::DeadlinePassed;
-    ++m_context.counters().failed;
     const std::uint16_t status = late ? StatusGatewayTimeout : StatusBadGateway;
     logEnd(LogLevel::Warning, "request-failed", status, late ? "deadline-passed" : "target-lost");
     HttpAnswer answer = textAnswer(status, "the request may have run\n");
@@ -478,7 +489,6 @@
 
 asio::awaitable<void> GatewayRequest::refuse(std::uint16_t status, const char *reason)
 {
-    ++m_context.counters().refused;
     logEnd(LogLevel::Warning, "request-refused", status, reason);
     // Another host can take it at once.
     const Duration base = reason == HostLeaving ? LeavingRetryAfter
@@ -490,9 +500,23 @@
     co_await m_caller.answer(std::move(answer));
 }
 
+// One of SuccessSampling successes is logged, every failure.
+void GatewayRequest::logAnswered(std::uint16_t status) const
+{
+    const bool isFailure = status >= 400;
+    if (isFailure)
+        logEnd(LogLevel::Warning, "request-answered", status, "target-failed");
+    else if (m_context.random()() % SuccessSampling == 0)
+        logEnd(LogLevel::Info, "request-answered", status, "target-answered");
+    else
+        m_context.metrics().onEnd("request-answered", "target-answered",
+                                  monotonicNow() - m_startedAt);
+}
+
 void GatewayRequest::logEnd(LogLevel level, const char *event, std::uint16_t status,
                             const char *reason) const
 {
+    m_context.metrics().onEnd(event, reason, monotonicNow() - m_startedAt);
     const auto *target = m_choice.target.get();
     logEvent(level, event,
              { { "request", m_requestId },
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -61,6 +61,7 @@
     void readLoad(const HttpAnswerHead &head);
     void endAttempt(std::optional<TargetOutcome> outcome, bool reusable);
     void callerGone();
+    void logAnswered(std::uint16_t status) const;
     void logEnd(LogLevel level, const char *event, std::uint16_t status, const char *reason) const;
     [[nodiscard]] bool idempotent() const;
 
--- a/packages/coordination/test/gateway/gateway_context_test.cpp
+++ b/packages/coordination/test/gateway/gateway_context_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(rulesWakeThoseThatWait);
     CPPUNIT_TEST(waitingEndsByItself);
     CPPUNIT_TEST(rulesThatComeAsTheWaitEnds);
+    CPPUNIT_TEST(metricsTellOutcomesAndAges);
     CPPUNIT_TEST(budgetsFollowTheNumberOfHosts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -56,6 +57,26 @@
         CPPUNIT_ASSERT_EQUAL(100, m_ended);
     }
 
+    void metricsTellOutcomesAndAges()
+    {
+        auto &metrics = m_context.metrics();
+        metrics.onEnd("request-refused", "targets-full", milliseconds(7));
+        metrics.onEnd("request-refused", "targets-full", milliseconds(70));
+        metrics.onAttempt("answered", milliseconds(20));
+        metrics.onRetry(false);
+        ggv::GatewayGauges gauges;
+        gauges.version = 12;
+        gauges.listAge = milliseconds(1500);
+        const auto text = metrics.text(gauges);
+        for (const char *line :
+             { "ggv_gateway_requests_total{outcome=\"request-refused\",reason=\"targets-full\"} 2",
+               "ggv_gateway_request_seconds_count{outcome=\"request-refused\"} 2",
+               "ggv_gateway_attempt_seconds_count{end=\"answered\"} 1",
+               "ggv_gateway_retries_total{allowed=\"no\"} 1", "ggv_gateway_version 12",
+               "ggv_gateway_list_age_seconds 1.5", "ggv_log_lines_dropped 0" })
+            CPPUNIT_ASSERT_MESSAGE(line, text.find(line) != std::string::npos);
+    }
+
     void budgetsFollowTheNumberOfHosts()
     {
         const ggv::ServiceName service("s");
