--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -41,6 +41,8 @@
 constexpr const char *NoConfiguration = "no-configuration";
 constexpr const char *HostLeaving = "host-leaving";
 constexpr const char *TargetsFull = "targets-full";
+constexpr const char *NoTimeLeft = "no-time-left";
+constexpr const char *NoTargetListed = "no-target-listed";
 constexpr const char *NotExecuted = "not-executed";
 
 std::optional<std::int64_t> numberOf(std::string_view text)
@@ -476,8 +478,7 @@
         }
     }
     if (!m_mayHaveRun) {
-        const bool full = m_choice.target == nullptr && m_choice.reason == NoTarget::AllFull;
-        co_await refuse(StatusUnavailable, full ? TargetsFull : NotExecuted);
+        co_await refuse(StatusUnavailable, refusalReason());
         co_return;
     }
     const bool late = end == AttemptEnd::DeadlinePassed;
@@ -487,6 +488,15 @@
     co_await m_caller.answer(std::move(answer));
 }
 
+const char *GatewayRequest::refusalReason() const
+{
+    if (m_choice.target)
+        return NotExecuted;
+    if (timeLeft() < MinimumTargetTime)
+        return NoTimeLeft;
+    return m_choice.reason == NoTarget::AllFull ? TargetsFull : NoTargetListed;
+}
+
 asio::awaitable<void> GatewayRequest::refuse(std::uint16_t status, const char *reason)
 {
     logEnd(LogLevel::Warning, "request-refused", status, reason);
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -53,6 +53,7 @@
     [[nodiscard]] bool mayTryAgain(AttemptEnd end);
     [[nodiscard]] boost::asio::awaitable<void> conclude(AttemptEnd end);
     [[nodiscard]] boost::asio::awaitable<void> refuse(std::uint16_t status, const char *reason);
+    [[nodiscard]] const char *refusalReason() const;
     [[nodiscard]] HttpRequestHead forwardedHead() const;
     [[nodiscard]] AttemptEnd judgeHead(const HttpAnswerHead &head);
     [[nodiscard]] AttemptEnd failed(const Error &error);
