Ask every host for the leader in the process test, and check that a return does not raise the term

Cause of the hang: the test asked one host, which had just come back and named no leader yet, and then signalled a process with an empty name.

--- a/packages/coordination/test/process/failures.sh
+++ b/packages/coordination/test/process/failures.sh
@@ -22,7 +22,7 @@
 
 fail() {
   echo "FAILED: $1"
-  grep -hE '^[EFW][0-9]' "$work"/*/log 2>/dev/null | tail -n 20
+  grep -hE '"level":"(error|warning)"' "$work"/*/log 2>/dev/null | tail -n 20
   exit 1
 }
 
@@ -38,8 +38,25 @@
   echo "${list%,}"
 }
 
+# A host that has just started names no leader until one has reached it, so each is asked.
 leader() {
-  ctl --host "$(operators)" status --json | grep -o '"leader": *"[^"]*"' | head -n 1 | cut -d'"' -f4
+  local it name
+  for it in "${hosts[@]}"; do
+    name="$(ctl --host "${host_operators[$it]}" status --json 2>/dev/null |
+      grep -o '"leader": *"[^"]*"' | head -n 1 | cut -d'"' -f4)"
+    if [ -n "$name" ]; then echo "$name"; return; fi
+  done
+}
+
+has_leader() { [ -n "$(leader)" ]; }
+
+# Highest term of the control quorum that any host knows.
+term() {
+  local it
+  for it in "${hosts[@]}"; do
+    ctl --host "${host_operators[$it]}" status --json 2>/dev/null | tr -d ' \n' |
+      grep -o '"group":"control"[^}]*"term":[0-9]*' | grep -o '[0-9]*$'
+  done | sort -n | tail -n 1
 }
 
 version_in_force() { ctl --host "$(operators)" watch --version "$1" --timeout 1; }
@@ -67,6 +84,7 @@
 orders 300 >"$work/killed.json" 2>/dev/null &
 orders_pid=$!
 sleep 1
+wait_until 30 has_leader || fail "no leader before the first loss"
 first="$(leader)"
 kill -KILL "${host_pid[$first]}"
 wait "$orders_pid" || fail "orders while the leader was killed"
@@ -80,13 +98,19 @@
 start_host "$first"
 settled() { ctl --host "${host_operators[$first]}" status --json | grep -q '"role": *"follower"'; }
 wait_until 60 settled || fail "the emptied host is taken in"
+wait_until 30 has_leader || fail "no leader before the second loss"
 second="$(leader)"
 kill -KILL "${host_pid[$second]}"
 wait_until 30 other_leader "$second" || fail "election after the second loss"
 drain catalogue-03
 wait_until 30 version_in_force 3 || fail "change after the second loss"
+wait_until 30 has_leader || fail "no leader after the second loss"
+before="$(term)"
 start_host "$second"
 wait_until 40 version_in_force 3 || fail "the second host comes back"
+wait_until 30 has_leader || fail "no leader after the second host came back"
+after="$(term)"
+[ -n "$before" ] && [ "$before" = "$after" ] || fail "the return of a host raised the term from $before to $after"
 
 echo "== the control leader is frozen while a change is accepted elsewhere, then wakes"
 frozen="$(leader)"
