--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -36,11 +36,37 @@
     return length;
 }
 
+constexpr beast::string_view AbsoluteScheme = "http://";
+
 bool isPlainTarget(beast::string_view target)
 {
     return !target.empty() && (target.front() == '/' || target == "*");
 }
 
+// Host and port of an absolute-form target; empty for any other.
+beast::string_view authorityOf(beast::string_view target)
+{
+    if (!beast::iequals(target.substr(0, AbsoluteScheme.size()), AbsoluteScheme))
+        return {};
+    const auto rest = target.substr(AbsoluteScheme.size());
+    return rest.substr(0, rest.find_first_of("/?#"));
+}
+
+// RFC 9112 3.2.2: an absolute-form target is accepted, and its authority replaces the Host header.
+void useAbsoluteForm(HttpRequestHead &head)
+{
+    const std::string authority = textOf(authorityOf(head.target));
+    if (authority.empty())
+        return;
+    head.target.erase(0, AbsoluteScheme.size() + authority.size());
+    if (!head.target.starts_with('/'))
+        head.target.insert(0, "/");
+    for (auto &header : head.headers) {
+        if (equalsIgnoreCase(header.name, "Host"))
+            header.value = authority;
+    }
+}
+
 template <typename Fields>
 bool hasBothLengths(const Fields &fields)
 {
@@ -64,7 +90,10 @@
         return "Transfer-Encoding other than chunked";
     if (message.count(http::field::host) > 1)
         return "more than one Host";
-    if (message.method() == http::verb::connect || !isPlainTarget(message.target()))
+    if (message.version() >= 11 && message.count(http::field::host) == 0)
+        return "Host is missing";
+    const bool known = isPlainTarget(message.target()) || !authorityOf(message.target()).empty();
+    if (message.method() == http::verb::connect || !known)
         return "request target is not a path";
     return {};
 }
@@ -77,6 +106,7 @@
     head.headers = headersOf(message);
     head.contentLength = contentLengthOf(message);
     head.chunked = message.count(http::field::transfer_encoding) > 0;
+    useAbsoluteForm(head);
     return head;
 }
 
