--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -79,9 +79,9 @@
                        .value();
         m_listener = std::make_unique<FrameListener>(
             m_context, m_setup.self.internal, fleetFrameOptions(),
-            [weak = weak_from_this()](std::shared_ptr<FrameConnection> connection) {
+            [weak = weak_from_this()](const std::shared_ptr<FrameConnection> &connection) {
                 if (const auto self = weak.lock())
-                    self->accept(std::move(connection));
+                    self->accept(connection);
             });
         m_started = true;
         observeSelf();
@@ -221,7 +221,7 @@
             m_mesh.send(*endpoint, QuorumEnvelope { std::move(message) });
     }
 
-    void accept(std::shared_ptr<FrameConnection> connection)
+    void accept(const std::shared_ptr<FrameConnection> &connection)
     {
         const std::uint64_t id = ++m_lastSession;
         m_sessions[id].connection = connection;
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -97,6 +97,7 @@
         return distance(one) < distance(other);
     });
     std::vector<Endpoint> endpoints;
+    endpoints.reserve(hosts.size() + m_seeds.size());
     for (const auto &it : hosts)
         endpoints.push_back(it.internal);
     for (const auto &it : m_seeds) {
--- a/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
@@ -40,7 +40,7 @@
     }
 }
 
-void FleetMesh::setPeers(std::set<Endpoint> peers)
+void FleetMesh::setPeers(const std::set<Endpoint> &peers)
 {
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         if (peers.contains(it->first)) {
@@ -87,9 +87,9 @@
     peer.triedAt = now;
     connectFrames(
         m_context, endpoint, fleetFrameOptions(),
-        [alive = m_alive, endpoint](std::shared_ptr<FrameConnection> connection) {
+        [alive = m_alive, endpoint](const std::shared_ptr<FrameConnection> &connection) {
             if (*alive != nullptr)
-                (*alive)->opened(endpoint, std::move(connection));
+                (*alive)->opened(endpoint, connection);
         },
         [alive = m_alive, endpoint](ConnectFailure) {
             if (*alive == nullptr)
@@ -100,7 +100,7 @@
         });
 }
 
-void FleetMesh::opened(const Endpoint &endpoint, std::shared_ptr<FrameConnection> connection)
+void FleetMesh::opened(const Endpoint &endpoint, const std::shared_ptr<FrameConnection> &connection)
 {
     const auto it = m_peers.find(endpoint);
     if (it == m_peers.end()) {
--- a/packages/coordination/ggv/coordination/fleet/fleet_mesh.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_mesh.hpp
@@ -32,7 +32,7 @@
     ~FleetMesh();
 
     //! Sets the hosts to be connected to; connections to others are closed.
-    void setPeers(std::set<Endpoint> peers);
+    void setPeers(const std::set<Endpoint> &peers);
     //! Sends to a peer if it is connected.
     void send(const Endpoint &peer, const FleetMessage &message);
     //! @return Peers that are connected.
@@ -50,7 +50,7 @@
     };
 
     void connect(const Endpoint &endpoint, Peer &peer, Instant now);
-    void opened(const Endpoint &endpoint, std::shared_ptr<FrameConnection> connection);
+    void opened(const Endpoint &endpoint, const std::shared_ptr<FrameConnection> &connection);
     void closed(const Endpoint &endpoint, const FrameConnection *connection, const char *reason);
 
     boost::asio::io_context &m_context;
--- a/packages/coordination/test/fleet/entry_link_test.cpp
+++ b/packages/coordination/test/fleet/entry_link_test.cpp
@@ -22,17 +22,16 @@
 public:
     ScriptedControlHost(boost::asio::io_context &context, FleetFeed feed)
         : m_feed(std::move(feed))
-        , m_listener(context, { "127.0.0.1", 0 }, ggv::fleetFrameOptions(),
-                     [this](std::shared_ptr<FrameConnection> connection) {
-                         accept(std::move(connection));
-                     })
+        , m_listener(
+              context, { "127.0.0.1", 0 }, ggv::fleetFrameOptions(),
+              [this](const std::shared_ptr<FrameConnection> &connection) { accept(connection); })
     { }
 
     Endpoint endpoint() const { return { "127.0.0.1", m_listener.port() }; }
     std::size_t connections() const { return m_connections.size(); }
 
 private:
-    void accept(std::shared_ptr<FrameConnection> connection)
+    void accept(const std::shared_ptr<FrameConnection> &connection)
     {
         m_connections.push_back(connection);
         connection->start([this, raw = connection.get()](
--- a/packages/coordination/test/fleet/fleet_machine_test.cpp
+++ b/packages/coordination/test/fleet/fleet_machine_test.cpp
@@ -81,7 +81,8 @@
 
     FleetCommandAnswer change(std::uint64_t version, std::uint64_t base, std::uint8_t content)
     {
-        return run(ChangeConfiguration { version, base, content * 1000U + base, { content } });
+        return run(ChangeConfiguration {
+            version, base, std::uint64_t { content } * 1000 + base, { content } });
     }
 
     FleetMachine m_machine { [] {} };
