--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -1,5 +1,7 @@
 #include <ggv/coordination/fleet/control_host.hpp>
 
+#include <ggv/coordination/fleet/completion_waiter.hpp>
+#include <ggv/coordination/fleet/control_metrics.hpp>
 #include <ggv/coordination/fleet/fleet_directory.hpp>
 #include <ggv/coordination/fleet/fleet_machine.hpp>
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
@@ -15,10 +17,6 @@
 #include <algorithm>
 #include <set>
 
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -411,30 +409,19 @@
         }
     }
 
-    std::string metricsText() const
+    ControlGauges gauges() const
     {
         const Instant now = monotonicNow();
         const auto status = m_quorum->status();
-        prometheus::Registry registry;
-        const auto add = [&registry](const char *name, const char *help, double value) {
-            prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
-        };
-        add("ggv_control_version", "Version of the configuration that is applied",
-            static_cast<double>(m_machine.state().version));
-        add("ggv_control_leads", "1 while a majority confirms this host as leader",
-            m_quorum->hasLeaderLease() ? 1 : 0);
-        add("ggv_control_term", "Term of the quorum", static_cast<double>(status.term));
-        add("ggv_control_voters", "Voters of the quorum",
-            static_cast<double>(status.voters.size()));
-        add("ggv_control_commit_index", "Last committed entry",
-            static_cast<double>(status.commitIndex));
-        add("ggv_control_entry_hosts", "Entry hosts that are alive",
-            static_cast<double>(m_directory.alive(HostRole::Entry, now).size()));
-        add("ggv_control_list_age_seconds", "Since the list of targets was read",
-            std::chrono::duration<double>(m_list.age(now)).count());
-        add("ggv_log_lines_dropped", "Log lines that nobody read in time",
-            static_cast<double>(droppedLogLines()));
-        return prometheus::TextSerializer().Serialize(registry.Collect());
+        ControlGauges gauges;
+        gauges.version = m_machine.state().version;
+        gauges.leads = m_quorum->hasLeaderLease();
+        gauges.term = status.term;
+        gauges.voters = status.voters.size();
+        gauges.commitIndex = status.commitIndex;
+        gauges.entryHosts = m_directory.alive(HostRole::Entry, now).size();
+        gauges.listAge = m_list.age(now);
+        return gauges;
     }
 
     asio::awaitable<void> readListLoop()
@@ -536,46 +523,14 @@
     m_implementation->m_setup.seeds = std::move(seeds);
 }
 
-namespace {
-
-//! Waits on the loop until a completion arrives or the time is over.
-struct CompletionWaiter
-{
-    explicit CompletionWaiter(asio::io_context &context)
-        : timer(context)
-    {
-        timer.expires_after(OrderTimeout);
-    }
-
-    asio::steady_timer timer;
-    std::optional<Completion> completion;
-};
-
-asio::awaitable<std::optional<Completion>> waitFor(std::shared_ptr<CompletionWaiter> waiter)
-{
-    if (!waiter->completion) {
-        try {
-            co_await waiter->timer.async_wait(asio::use_awaitable);
-        } catch (const boost::system::system_error &) {
-            // Cancelled by the completion.
-        }
-    }
-    co_return waiter->completion;
-}
-
-} // namespace
-
 asio::awaitable<OrderOutcome> ControlHost::execute(FleetCommand command)
 {
     const auto self = m_implementation;
     if (self->m_quorum->status().role != RaftRole::Leader)
         co_return OrderOutcome { ResultCode::NotLeader, 0 };
-    const auto waiter = std::make_shared<CompletionWaiter>(self->m_context);
-    self->m_quorum->propose(encodeFleetCommand(command), [waiter](const Completion &completion) {
-        waiter->completion = completion;
-        waiter->timer.cancel();
-    });
-    const auto completion = co_await waitFor(waiter);
+    const auto waiter = CompletionWaiter::create(self->m_context, OrderTimeout);
+    self->m_quorum->propose(encodeFleetCommand(command), waiter->handler());
+    const auto completion = co_await waiter->wait();
     if (!completion)
         co_return OrderOutcome { ResultCode::ChangeOutcomeUnknown, 0 };
     if (completion->code != ResultCode::Ok)
@@ -587,12 +542,9 @@
 asio::awaitable<std::optional<FleetState>> ControlHost::confirmedState()
 {
     const auto self = m_implementation;
-    const auto waiter = std::make_shared<CompletionWaiter>(self->m_context);
-    self->m_quorum->confirmRead([waiter](const Completion &completion) {
-        waiter->completion = completion;
-        waiter->timer.cancel();
-    });
-    const auto completion = co_await waitFor(waiter);
+    const auto waiter = CompletionWaiter::create(self->m_context, OrderTimeout);
+    self->m_quorum->confirmRead(waiter->handler());
+    const auto completion = co_await waiter->wait();
     if (!completion || completion->code != ResultCode::Ok)
         co_return std::nullopt;
     co_return self->m_machine.state();
@@ -611,7 +563,10 @@
 
 bool ControlHost::leads() const { return m_implementation->m_quorum->hasLeaderLease(); }
 
-std::string ControlHost::metricsText() const { return m_implementation->metricsText(); }
+std::string ControlHost::metricsText() const
+{
+    return ggv::metricsText(m_implementation->gauges());
+}
 
 std::vector<HostAnnouncement> ControlHost::entryHosts() const
 {
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -1,12 +1,11 @@
 #include <ggv/coordination/gateway/gateway_request.hpp>
 
+#include <ggv/coordination/gateway/header_values.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/state/routing/target_affinity.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cstdio>
 
 namespace ggv {
 
@@ -45,15 +44,6 @@
 constexpr const char *NoTargetListed = "no-target-listed";
 constexpr const char *NotExecuted = "not-executed";
 
-std::optional<std::int64_t> numberOf(std::string_view text)
-{
-    std::int64_t number = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (ec != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 std::string_view attemptEndName(TargetOutcome outcome) noexcept
 {
     switch (outcome) {
@@ -71,38 +61,6 @@
     return "unlisted";
 }
 
-std::optional<std::string_view> cookieOf(const HttpHeaders &headers, std::string_view name)
-{
-    for (const auto &header : headers) {
-        if (!equalsIgnoreCase(header.name, "Cookie"))
-            continue;
-        std::string_view rest = header.value;
-        while (!rest.empty()) {
-            const auto end = rest.find(';');
-            std::string_view pair = rest.substr(0, end);
-            rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
-            pair.remove_prefix(std::min(pair.find_first_not_of(' '), pair.size()));
-            if (pair.size() > name.size() && pair.starts_with(name) && pair[name.size()] == '=')
-                return pair.substr(name.size() + 1);
-        }
-    }
-    return std::nullopt;
-}
-
-std::optional<ReportedLoad> parseLoad(std::string_view text)
-{
-    std::array<std::uint32_t, 3> numbers {};
-    for (std::size_t n = 0; n < numbers.size(); ++n) {
-        const auto end = text.find(',');
-        const auto number = numberOf(text.substr(0, end));
-        if (!number || *number < 0)
-            return std::nullopt;
-        numbers.at(n) = static_cast<std::uint32_t>(*number);
-        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
-    }
-    return ReportedLoad { numbers[0], numbers[1], numbers[2] };
-}
-
 HttpAnswer textAnswer(std::uint16_t status, const char *text)
 {
     HttpAnswer answer;
@@ -111,14 +69,6 @@
     return answer;
 }
 
-std::string secondsText(Duration duration)
-{
-    std::array<char, 32> text {};
-    (void)std::snprintf(text.data(), text.size(), "%.3f",
-                        std::chrono::duration<double>(duration).count());
-    return text.data();
-}
-
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayContext &context, ServerExchange &caller)
--- /dev/null
+++ b/packages/coordination/test/gateway/header_values_test.cpp
@@ -0,0 +1,54 @@
+#include <ggv/coordination/gateway/header_values.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using ggv::HttpHeaders;
+using ggv::ReportedLoad;
+
+class HeaderValuesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HeaderValuesTest);
+    CPPUNIT_TEST(numbersAreWhole);
+    CPPUNIT_TEST(cookiesAreFoundByTheirWholeName);
+    CPPUNIT_TEST(loadsHaveThreeNumbers);
+    CPPUNIT_TEST(secondsHaveThreeDecimals);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void numbersAreWhole()
+    {
+        CPPUNIT_ASSERT(ggv::numberOf("250") == 250);
+        CPPUNIT_ASSERT(ggv::numberOf("-1") == -1);
+        for (const char *it : { "", "1.5", "2 ", "0x1", "99999999999999999999" })
+            CPPUNIT_ASSERT_MESSAGE(it, !ggv::numberOf(it));
+    }
+
+    void cookiesAreFoundByTheirWholeName()
+    {
+        const HttpHeaders headers { { "Cookie", "XObject=1; a=b;Object=7;  Object2=8" },
+                                    { "cookie", "Late=9" } };
+        CPPUNIT_ASSERT(ggv::cookieOf(headers, "Object") == "7");
+        CPPUNIT_ASSERT(ggv::cookieOf(headers, "Late") == "9");
+        CPPUNIT_ASSERT(!ggv::cookieOf(headers, "Obj"));
+        CPPUNIT_ASSERT(!ggv::cookieOf({}, "Object"));
+    }
+
+    void loadsHaveThreeNumbers()
+    {
+        CPPUNIT_ASSERT(ggv::parseLoad("3,0,8") == ReportedLoad({ 3, 0, 8 }));
+        for (const char *it : { "", "3", "3,0", "3,-1,8", "a,b,c", "3,,8" })
+            CPPUNIT_ASSERT_MESSAGE(it, !ggv::parseLoad(it));
+    }
+
+    void secondsHaveThreeDecimals()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("0.405"),
+                             ggv::secondsText(std::chrono::milliseconds(405)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HeaderValuesTest);
+
+} // namespace
