--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
@@ -19,8 +19,6 @@
     return true;
 }
 
-void FleetDirectory::forget(const HostName &name) { m_hosts.erase(name); }
-
 std::vector<HostAnnouncement> FleetDirectory::alive(HostRole role, Instant now) const
 {
     std::vector<HostAnnouncement> hosts;
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
@@ -23,8 +23,6 @@
 
     //! Takes in a sighting. @return True if the host is new, or changed its announcement.
     bool observe(const HostSighting &sighting, Instant now);
-    //! The host said itself that it ends.
-    void forget(const HostName &name);
     //! @return Hosts of a role that are alive, by name.
     [[nodiscard]] std::vector<HostAnnouncement> alive(HostRole role, Instant now) const;
     //! @return Hosts of a role that are not forgotten, alive or not, by name.
--- a/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
@@ -1,19 +1,11 @@
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 
+#include <ggv/coordination/fleet/endpoint_text.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
 
 namespace ggv {
 
-namespace {
-
-std::string textOf(const Endpoint &endpoint)
-{
-    return endpoint.address + ":" + std::to_string(endpoint.port);
-}
-
-} // namespace
-
 FrameOptions fleetFrameOptions()
 {
     FrameOptions options;
@@ -109,7 +101,7 @@
     }
     it->second.connecting = false;
     it->second.connection = connection;
-    logEvent(LogLevel::Info, "peer-connected", { { "peer", textOf(endpoint) } });
+    logEvent(LogLevel::Info, "peer-connected", { { "peer", endpointText(endpoint) } });
     const auto *raw = connection.get();
     connection->start([](ByteView) {},
                       [alive = m_alive, endpoint, raw](const Error &error) {
@@ -127,7 +119,7 @@
         return;
     it->second.connection.reset();
     logEvent(LogLevel::Warning, "peer-lost",
-             { { "peer", textOf(endpoint) }, { "reason", reason } });
+             { { "peer", endpointText(endpoint) }, { "reason", reason } });
 }
 
 } // namespace ggv
--- a/packages/greengagevalved/main.cpp
+++ b/packages/greengagevalved/main.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-//! Environment variable with the path of the platform's settings.
-constexpr const char *SettingsVariable = "GREENGAGEVALVE_CONFIG";
 constexpr int ExitUsage = 2;
 constexpr int ExitStart = 3;
 constexpr int ExitSecondSignal = 4;
@@ -45,7 +43,7 @@
         = { { "settings", 's', POPT_ARG_STRING, &settings, 0, "Settings file", "FILE" },
             { "platform", 0, POPT_ARG_NONE, &onPlatform, 0,
               "The settings have the platform's format; without --settings, "
-              "GREENGAGEVALVE_CONFIG holds their path",
+              "the platform's environment variable holds their path",
               nullptr },
             { "initialize", 0, POPT_ARG_NONE, &initialize, 0,
               "Create a new cluster: only for the very first start of its hosts", nullptr },
@@ -59,7 +57,7 @@
         std::cerr << poptBadOption(context, 0) << ": " << poptStrerror(status) << "\n";
     else if (surplus)
         std::cerr << "unexpected argument " << poptPeekArg(context) << "\n";
-    const char *fallback = onPlatform != 0 ? std::getenv(SettingsVariable) : nullptr;
+    const char *fallback = onPlatform != 0 ? std::getenv(ggv::platform::SettingsVariable) : nullptr;
     if (settings != nullptr)
         arguments.settingsPath = settings;
     else if (fallback != nullptr)
