Keep the slot budget's limit over restarts and version changes

(1) A restarted host confirmed the register version that it started with while requests of its former process, admitted under a larger share of an older version, were still in flight. (2) A host was raised to all that the ledger counted of it, although leases that others held over a version change had taken the room. (3) The test's world checked one host before it had ended the requests of the next, and counted one that had ended since the last sample. Ruled out: the clocks' drift (same violation with all rates equal to the trace's), a coarse sample (5 ms shows the same).

--- a/packages/state/ggv/state/budget/budget.hpp
+++ b/packages/state/ggv/state/budget/budget.hpp
@@ -66,7 +66,8 @@
     HostName holder;
     std::uint64_t sequence = 0; //!< Rises with each request of one process.
     std::uint64_t process = 0; //!< Drawn at start; a later process of a host draws a higher one.
-    RegisterVersion registerVersion = 0; //!< The version the holder has in force.
+    RegisterVersion registerVersion = 0; //!< The version that alone binds the holder's use; 0 while
+                                         //!< requests of a former process may be in flight.
     GrantId lastGrant; //!< The newest grant that the holder has accepted.
     std::vector<BudgetShare> held; //!< Units beyond the fixed share that are in use or leased.
     std::vector<BudgetShare> renewable; //!< LeasedShare::pool of the live lease.
--- a/packages/state/ggv/state/budget/budget_holder.cpp
+++ b/packages/state/ggv/state/budget/budget_holder.cpp
@@ -13,6 +13,7 @@
 //! Part of a fixed share that is kept above the current wants, so that a rise needs no grant.
 constexpr BudgetUnits ReservePercent = 25;
 constexpr BudgetUnits WholePercent = 100;
+constexpr RegisterVersion UnconfirmedVersion = 0;
 
 //! Upper bound on the use of a fixed share, promised in a request.
 struct Cap
@@ -98,7 +99,8 @@
         made.holder = m_settings.host;
         made.sequence = ++m_sequence;
         made.process = m_settings.process;
-        made.registerVersion = m_version;
+        // Requests of a former process may still use a larger share of an older version.
+        made.registerVersion = formerProcessDrained(now) ? m_version : UnconfirmedVersion;
         made.lastGrant = m_lastGrant;
         std::map<BudgetKey, BudgetDemand> byKey;
         for (const BudgetDemand &demand : demands)
--- a/packages/state/ggv/state/budget/budget_ledger.cpp
+++ b/packages/state/ggv/state/budget/budget_ledger.cpp
@@ -615,9 +615,9 @@
             return;
         const std::int64_t counted = fixed.useUntil(decision.end);
         const std::int64_t others = fixedUse(account, decision.now, decision.end) - counted;
+        // What is counted of this host may be more than it has: only real room is given.
         const std::int64_t room = account.limit - leased.units - others;
-        const std::int64_t atMost = std::max<std::int64_t>(fixed.useUntil(decision.now), room);
-        const std::int64_t units = std::min({ atMost, static_cast<std::int64_t>(fixed.latest),
+        const std::int64_t units = std::min({ room, static_cast<std::int64_t>(fixed.latest),
                                               static_cast<std::int64_t>(decision.wanted) });
         if (units <= decision.retained)
             return;
--- a/packages/state/test/budget/budget_history_test.cpp
+++ b/packages/state/test/budget/budget_history_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(wantsAreMetAfterFaultsEnd);
     CPPUNIT_TEST(aCutOffDomainGetsItsFixedSharesBack);
     CPPUNIT_TEST(nothingCrossesWithoutLease);
+    CPPUNIT_TEST(aRestartConfirmsNoVersionOverRequestsInFlight);
+    CPPUNIT_TEST(historiesThatFailedOnceHold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,6 +94,48 @@
         }));
     }
 
+    // Host 1 dies with requests in flight under its share of 12 and returns with a share of 0,
+    // while host 0 takes the whole share of the new version.
+    void aRestartConfirmsNoVersionOverRequestsInFlight()
+    {
+        CPPUNIT_ASSERT(rc::check("requests of a former process count", [](std::uint32_t seed) {
+            BudgetWorld world(seed);
+            world.setFaulty(false);
+            world.addVersion(BudgetWorld::limits(12, { 0, 12, 0 }));
+            for (std::size_t n = 0; n < BudgetWorld::HostCount; ++n) {
+                world.adopt(n, 2);
+                world.want(n, { n == 1 ? 12U : 0U, 0, 0, 0 });
+            }
+            world.run(std::chrono::seconds(25));
+            RC_ASSERT(world.usable(1, 0) == 12U);
+            world.addVersion(BudgetWorld::limits(12, { 12, 0, 0 }));
+            world.kill(1);
+            for (std::size_t n = 0; n < BudgetWorld::HostCount; ++n) {
+                world.adopt(n, 3);
+                world.want(n, { n == 0 ? 12U : 0U, 0, 0, 0 });
+            }
+            world.start(1);
+            world.run(std::chrono::seconds(20));
+            RC_ASSERT(world.violation() == "");
+            RC_ASSERT(world.usable(0, 0) == 12U);
+        }));
+    }
+
+    // 1020: a restart confirmed a version over requests in flight. 2388: a host was given all that
+    // was counted of it, although other hosts still used more than their shares.
+    void historiesThatFailedOnceHold()
+    {
+        for (const std::uint64_t history : { 1020U, 2388U }) {
+            std::mt19937_64 random(history);
+            BudgetWorld world(static_cast<std::uint32_t>(random()));
+            for (std::size_t n = 0; n < StepsPerHistory; ++n)
+                world.step(static_cast<std::uint32_t>(random()));
+            world.repair();
+            world.run(std::chrono::seconds(45));
+            CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+        }
+    }
+
 private:
     static BudgetUnits fixedShare(const BudgetWorld &world, std::size_t n, std::size_t key)
     {
--- a/packages/state/test/budget/budget_world.hpp
+++ b/packages/state/test/budget/budget_world.hpp
@@ -47,6 +47,7 @@
         const Instant end = m_now + length;
         while (m_now < end) {
             m_now = std::min(end, m_now + SampleInterval);
+            endRequests();
             deliverDue();
             for (std::size_t n = 0; n < HostCount; ++n)
                 act(n);
@@ -180,6 +181,15 @@
         for (BudgetLedger &ledger : m_ledgers)
             ledger.setLimits(next);
     }
+    //! Lets a host take a version into force, or the newest one below it.
+    void adopt(std::size_t n, RegisterVersion version)
+    {
+        Host &host = m_hosts[n];
+        host.version
+            = std::max(host.version, std::min<RegisterVersion>(version, m_versions.size()));
+        if (host.holder)
+            host.holder->adoptRegister(host.version, versionOf(host.version).fixedOf(name(n)));
+    }
     void setFaulty(bool faulty) noexcept { m_faulty = faulty; }
 
     [[nodiscard]] BudgetUnits usable(std::size_t n, std::size_t key) const
@@ -309,15 +319,6 @@
 
     void adopt(std::size_t n) { adopt(n, m_hosts[n].version + pick(3)); }
 
-    void adopt(std::size_t n, RegisterVersion version)
-    {
-        Host &host = m_hosts[n];
-        host.version
-            = std::max(host.version, std::min<RegisterVersion>(version, m_versions.size()));
-        if (host.holder)
-            host.holder->adoptRegister(host.version, versionOf(host.version).fixedOf(name(n)));
-    }
-
     Duration delay()
     {
         if (!m_faulty)
@@ -396,12 +397,19 @@
             m_probes.push_back({ m_leader, { name(n), local(clock), {} }, m_now + delay() });
     }
 
+    // Before any host acts: a request that ended since the last sample is in use nowhere.
+    void endRequests()
+    {
+        const auto ended = [this](const InFlight &it) { return it.end <= m_now; };
+        for (Host &host : m_hosts) {
+            std::erase_if(host.inFlight, ended);
+            std::erase_if(host.ghosts, ended);
+        }
+    }
+
     void act(std::size_t n)
     {
         Host &host = m_hosts[n];
-        const auto ended = [this](const InFlight &it) { return it.end <= m_now; };
-        std::erase_if(host.inFlight, ended);
-        std::erase_if(host.ghosts, ended);
         if (!host.holder || host.frozen)
             return;
         for (const LeaseGrant &grant : std::exchange(host.inbox, {})) {
