Send lists of targets as changes, and read them again only without news

Cause: on the grown sites a control host far from the platform's list reads its pages for 1.1 s, so that every reading is old when it comes; all other control hosts then took it for overdue, read the list themselves, and sent each of their readings (37 KB, other cold times, so another digest) to their entry hosts: up to three whole lists within 0.2 s on links of 2 to 2.9 Mbit/s. Ruled out: shorter pages (the platform sets them), reading less often (the drain bound). Now a control host waits for news as long as before, counted from when the last reading became known, and a receiver that has a former list gets the difference; one that lacks the base says so and gets the whole list. SharedTargetListTest covers the codec of changes over drawn histories, and the news.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -33,7 +33,7 @@
 constexpr Duration SightingInterval = std::chrono::milliseconds(400);
 //! The leader reads the platform's list this often.
 constexpr Duration ListInterval = std::chrono::milliseconds(900);
-//! Another control host reads the list itself if what it was told is older.
+//! Another control host reads the list itself if it heard of no newer reading for this long.
 constexpr Duration ListPatience = std::chrono::milliseconds(1600);
 //! Further patience, drawn by each host, so that not all read at once.
 constexpr Duration ListJitter = std::chrono::milliseconds(500);
@@ -167,6 +167,7 @@
 
     void greet(const Endpoint &peer)
     {
+        m_sentDigests.erase(peer); // It may have restarted.
         m_mesh.send(peer, ownReport());
         m_mesh.send(peer, SightingReport { ownSightings(monotonicNow()) });
         m_mesh.send(peer, m_list.report(0, monotonicNow()));
@@ -266,12 +267,13 @@
         session.report = report;
         if (m_directory.observe({ report.host, Duration(0) }, monotonicNow()))
             logHost(report.host);
-        if (isNew) {
+        if (isNew)
             session.sentRevision = report.revision;
-            session.sentDigest = report.listDigest;
-        }
+        session.sentDigest = report.listDigest;
         if (report.host.role == HostRole::Entry)
             sendFeed(session);
+        else
+            m_sentDigests[report.host.internal] = report.listDigest;
     }
 
     void handle(Session &, const SightingReport &report)
@@ -289,9 +291,13 @@
             m_quorum->receive(envelope.message);
     }
 
-    void handle(Session &, const TargetListReport &report)
+    void handle(Session &session, const TargetListReport &report)
     {
-        if (m_list.adopt(report, monotonicNow()))
+        const Instant now = monotonicNow();
+        // The sender learns which list this host has, and sends the next one whole.
+        if (session.report && m_list.lacksBaseOf(report, now))
+            m_mesh.send(session.report->host.internal, ownReport());
+        if (m_list.adopt(report, now))
             sendListToEntryHosts();
     }
 
@@ -441,9 +447,11 @@
         const Duration age = m_list.age(now);
         if (status.role == RaftRole::Leader)
             return age >= ListInterval && now - m_listTriedAt >= ListInterval;
+        // A reading from afar may be old when it comes; another one would be no newer.
         const Duration jitter(static_cast<Duration::rep>(
             uniformFraction(m_random) * static_cast<double>(ListJitter.count())));
-        return age >= ListPatience + jitter && now - m_listTriedAt >= ListInterval * 2;
+        return m_list.newsAge(now) >= ListPatience + jitter
+            && now - m_listTriedAt >= ListInterval * 2;
     }
 
     asio::awaitable<void> readList()
@@ -452,7 +460,7 @@
         m_listTriedAt = startedAt;
         try {
             auto targets = co_await m_reader.read();
-            m_list.replace(std::move(targets), startedAt);
+            m_list.replace(std::move(targets), startedAt, monotonicNow());
             noteList(true, "");
         } catch (const Error &error) {
             noteList(false, error.what());
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <utility>
+
 #include <xxhash.h>
 
 namespace ggv {
@@ -11,42 +13,126 @@
 namespace {
 
 constexpr Duration NeverRead = std::chrono::hours(24);
+//! Lists of which a receiver may have one when it is sent a change.
+constexpr std::size_t FormerLists = 4;
 
 std::uint64_t digestOf(const std::vector<ListedTarget> &targets)
 {
-    const Bytes bytes = encodeFleetMessage(TargetListReport { 0, Duration(0), targets });
+    const Bytes bytes = encodeFleetMessage(TargetListReport { 0, Duration(0), targets, {} });
     return std::max<std::uint64_t>(XXH3_64bits(bytes.data(), bytes.size()), 1);
 }
 
+// Both lists are sorted; equal entries are kept.
+TargetListDelta deltaBetween(const TargetList &before, const TargetList &after)
+{
+    TargetListDelta delta { before.digest, {}, {} };
+    auto next = after.targets.begin();
+    for (std::uint32_t n = 0; n < before.targets.size(); ++n) {
+        while (next != after.targets.end() && *next < before.targets[n])
+            delta.added.push_back(*next++);
+        if (next != after.targets.end() && *next == before.targets[n])
+            ++next;
+        else
+            delta.removed.push_back(n);
+    }
+    delta.added.insert(delta.added.end(), next, after.targets.end());
+    return delta;
+}
+
+std::vector<ListedTarget> applied(const TargetListDelta &delta, const TargetList &before)
+{
+    std::vector<ListedTarget> targets = delta.added;
+    auto removed = delta.removed.begin();
+    for (std::uint32_t n = 0; n < before.targets.size(); ++n) {
+        if (removed != delta.removed.end() && *removed == n)
+            ++removed;
+        else
+            targets.push_back(before.targets[n]);
+    }
+    std::sort(targets.begin(), targets.end());
+    return targets;
+}
+
 } // namespace
 
-void SharedTargetList::replace(std::vector<ListedTarget> targets, Instant readAt)
+void SharedTargetList::setContent(TargetList list)
+{
+    if (list.digest == m_list.digest)
+        return;
+    if (m_list.digest != 0)
+        m_former.push_back(std::exchange(m_list, std::move(list)));
+    else
+        m_list = std::move(list);
+    if (m_former.size() > FormerLists)
+        m_former.pop_front();
+}
+
+void SharedTargetList::replace(std::vector<ListedTarget> targets, Instant readAt, Instant now)
 {
     std::sort(targets.begin(), targets.end());
-    m_list.digest = digestOf(targets);
-    m_list.targets = std::move(targets);
+    const std::uint64_t digest = digestOf(targets);
+    setContent({ digest, std::move(targets) });
     m_readAt = readAt;
+    m_newsAt = now;
+}
+
+std::optional<TargetList> SharedTargetList::contentOf(const TargetListReport &report) const
+{
+    if (report.targets)
+        return TargetList { report.digest, *report.targets };
+    if (!report.delta || report.delta->base != m_list.digest)
+        return std::nullopt;
+    auto targets = applied(*report.delta, m_list);
+    if (digestOf(targets) != report.digest)
+        return std::nullopt;
+    return TargetList { report.digest, std::move(targets) };
+}
+
+bool SharedTargetList::isNews(const TargetListReport &report, Instant now) const noexcept
+{
+    return report.digest != 0 && (m_readAt == Instant::min() || now - report.age > m_readAt);
+}
+
+bool SharedTargetList::lacksBaseOf(const TargetListReport &report, Instant now) const
+{
+    return isNews(report, now) && report.digest != m_list.digest && !contentOf(report);
 }
 
 bool SharedTargetList::adopt(const TargetListReport &report, Instant now)
 {
-    const Instant readAt = now - report.age;
-    if (report.digest == 0 || (m_readAt != Instant::min() && readAt <= m_readAt))
+    if (!isNews(report, now))
         return false;
     const bool known = report.digest == m_list.digest;
-    if (!known && !report.targets)
+    auto content = known ? std::nullopt : contentOf(report);
+    if (!known && !content)
         return false;
-    m_readAt = readAt;
+    m_readAt = now - report.age;
+    m_newsAt = now;
     if (known)
         return false;
-    m_list = { report.digest, *report.targets };
+    setContent(std::move(*content));
     return true;
 }
 
+std::optional<TargetListDelta> SharedTargetList::deltaFrom(std::uint64_t knownDigest) const
+{
+    for (const auto &it : m_former) {
+        if (it.digest != knownDigest)
+            continue;
+        auto delta = deltaBetween(it, m_list);
+        if (delta.added.size() < m_list.targets.size())
+            return delta;
+    }
+    return std::nullopt;
+}
+
 TargetListReport SharedTargetList::report(std::uint64_t knownDigest, Instant now) const
 {
-    TargetListReport report { m_list.digest, age(now), std::nullopt };
-    if (m_list.digest != 0 && m_list.digest != knownDigest)
+    TargetListReport report { m_list.digest, age(now), {}, {} };
+    if (m_list.digest == 0 || m_list.digest == knownDigest)
+        return report;
+    report.delta = deltaFrom(knownDigest);
+    if (!report.delta)
         report.targets = m_list.targets;
     return report;
 }
@@ -56,4 +142,9 @@
     return m_readAt == Instant::min() ? NeverRead : now - m_readAt;
 }
 
+Duration SharedTargetList::newsAge(Instant now) const noexcept
+{
+    return m_newsAt == Instant::min() ? NeverRead : now - m_newsAt;
+}
+
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.hpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.hpp
@@ -2,6 +2,8 @@
 
 #include <ggv/protocol/message/fleet_message.hpp>
 
+#include <deque>
+#include <optional>
 #include <vector>
 
 namespace ggv {
@@ -13,21 +15,33 @@
 {
 public:
     //! Takes in an own reading that began at an instant.
-    void replace(std::vector<ListedTarget> targets, Instant readAt);
-    //! Takes in a report. @return True if the content changed.
+    void replace(std::vector<ListedTarget> targets, Instant readAt, Instant now);
+    //! Takes in a report; a change to a list that is not known here is left out.
+    //! @return True if the content changed.
     bool adopt(const TargetListReport &report, Instant now);
+    //! @return True if a report is news here, but changes a list that is not known.
+    [[nodiscard]] bool lacksBaseOf(const TargetListReport &report, Instant now) const;
     //! @return Report for a host that has the content with that digest.
     [[nodiscard]] TargetListReport report(std::uint64_t knownDigest, Instant now) const;
     //! @return Time since the list was read; the largest duration if it never was.
     [[nodiscard]] Duration age(Instant now) const noexcept;
+    //! @return Time since the newest reading became known here; the largest one if none did.
+    [[nodiscard]] Duration newsAge(Instant now) const noexcept;
     //! @return Digest of the content; 0: never read.
     [[nodiscard]] std::uint64_t digest() const noexcept { return m_list.digest; }
     //! @return The content.
     [[nodiscard]] const TargetList &list() const noexcept { return m_list; }
 
 private:
+    void setContent(TargetList list);
+    [[nodiscard]] bool isNews(const TargetListReport &report, Instant now) const noexcept;
+    [[nodiscard]] std::optional<TargetList> contentOf(const TargetListReport &report) const;
+    [[nodiscard]] std::optional<TargetListDelta> deltaFrom(std::uint64_t knownDigest) const;
+
     TargetList m_list;
+    std::deque<TargetList> m_former; //!< Newest last, as bases of changes.
     Instant m_readAt = Instant::min();
+    Instant m_newsAt = Instant::min();
 };
 
 } // namespace ggv
--- a/packages/coordination/test/fleet/fleet_directory_test.cpp
+++ b/packages/coordination/test/fleet/fleet_directory_test.cpp
@@ -75,10 +75,10 @@
     {
         SharedTargetList own;
         SharedTargetList other;
-        own.replace(targets(1), m_now);
-        other.replace(targets(2), m_now - seconds(1));
+        own.replace(targets(1), m_now, m_now);
+        other.replace(targets(2), m_now - seconds(1), m_now);
         CPPUNIT_ASSERT(!own.adopt(other.report(0, m_now), m_now));
-        other.replace(targets(3), m_now + seconds(1));
+        other.replace(targets(3), m_now + seconds(1), m_now);
         CPPUNIT_ASSERT(own.adopt(other.report(0, m_now + seconds(2)), m_now + seconds(2)));
         CPPUNIT_ASSERT_EQUAL(3U, own.list().targets.front().slots);
         CPPUNIT_ASSERT(Duration(seconds(1)) == own.age(m_now + seconds(2)));
@@ -88,11 +88,11 @@
     {
         SharedTargetList list;
         CPPUNIT_ASSERT(!list.report(0, m_now).targets);
-        list.replace(targets(1), m_now);
+        list.replace(targets(1), m_now, m_now);
         CPPUNIT_ASSERT(list.report(0, m_now).targets.has_value());
         CPPUNIT_ASSERT(!list.report(list.digest(), m_now).targets);
         SharedTargetList other;
-        other.replace(targets(1), m_now);
+        other.replace(targets(1), m_now, m_now);
         CPPUNIT_ASSERT_EQUAL(list.digest(), other.digest());
     }
 
--- /dev/null
+++ b/packages/coordination/test/fleet/shared_target_list_test.cpp
@@ -0,0 +1,116 @@
+#include <ggv/coordination/fleet/shared_target_list.hpp>
+#include <ggv/protocol/codec/fleet_codec.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using ggv::Duration;
+using ggv::Instant;
+using ggv::ListedTarget;
+using ggv::SharedTargetList;
+using std::chrono::seconds;
+
+constexpr int Targets = 300;
+constexpr Instant Start { seconds(100) };
+
+ListedTarget target(int number, Duration coldFor = Duration(0))
+{
+    ListedTarget listed;
+    listed.instance = "i-" + std::to_string(number);
+    listed.service = ggv::ServiceName("s");
+    listed.endpoint = { "10.0.0.1", static_cast<std::uint16_t>(number) };
+    listed.coldFor = coldFor;
+    return listed;
+}
+
+std::vector<ListedTarget> manyTargets()
+{
+    std::vector<ListedTarget> targets;
+    for (int n = 0; n < Targets; ++n)
+        targets.push_back(target(n));
+    return targets;
+}
+
+class SharedTargetListTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SharedTargetListTest);
+    CPPUNIT_TEST(aSmallChangeIsASmallMessage);
+    CPPUNIT_TEST(anUnknownBaseGetsEverything);
+    CPPUNIT_TEST(aReadingFromAfarIsNews);
+    CPPUNIT_TEST(receiversFollowAnyHistory);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aSmallChangeIsASmallMessage()
+    {
+        SharedTargetList sender;
+        SharedTargetList receiver;
+        auto targets = manyTargets();
+        sender.replace(targets, Start, Start);
+        CPPUNIT_ASSERT(receiver.adopt(sender.report(0, Start), Start));
+        targets[7] = target(7, seconds(3));
+        targets.pop_back();
+        sender.replace(targets, Start + seconds(1), Start + seconds(1));
+        const auto report = sender.report(receiver.digest(), Start + seconds(1));
+        // Less than a tenth of the whole list, which costs about 50 bytes a target.
+        CPPUNIT_ASSERT(ggv::encodeFleetMessage(report).size() < Targets * 50 / 10);
+        CPPUNIT_ASSERT(receiver.adopt(report, Start + seconds(1)));
+        CPPUNIT_ASSERT(receiver.list() == sender.list());
+    }
+
+    void anUnknownBaseGetsEverything()
+    {
+        SharedTargetList sender;
+        sender.replace(manyTargets(), Start, Start);
+        sender.replace({ target(1) }, Start + seconds(1), Start + seconds(1));
+        CPPUNIT_ASSERT(sender.report(12345, Start).targets.has_value());
+        SharedTargetList receiver;
+        auto report = sender.report(sender.digest(), Start + seconds(1));
+        CPPUNIT_ASSERT(!receiver.adopt(report, Start + seconds(1)));
+        report.delta = ggv::TargetListDelta { 12345, { 0 }, {} };
+        CPPUNIT_ASSERT(receiver.lacksBaseOf(report, Start + seconds(1)));
+        CPPUNIT_ASSERT(!receiver.adopt(report, Start + seconds(1)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, receiver.digest());
+    }
+
+    void aReadingFromAfarIsNews()
+    {
+        SharedTargetList sender;
+        sender.replace(manyTargets(), Start, Start + seconds(1));
+        SharedTargetList receiver;
+        CPPUNIT_ASSERT(receiver.adopt(sender.report(0, Start + seconds(1)), Start + seconds(1)));
+        CPPUNIT_ASSERT(Duration(seconds(2)) == receiver.age(Start + seconds(2)));
+        CPPUNIT_ASSERT(Duration(seconds(1)) == receiver.newsAge(Start + seconds(2)));
+    }
+
+    void receiversFollowAnyHistory()
+    {
+        CPPUNIT_ASSERT(rc::check("a receiver ends with the sender's list", [] {
+            SharedTargetList sender;
+            SharedTargetList receiver;
+            std::uint64_t sent = 0;
+            const auto steps = *rc::gen::container<std::vector<std::pair<std::vector<int>, bool>>>(
+                rc::gen::pair(rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12)),
+                              rc::gen::arbitrary<bool>()));
+            Instant now = Start;
+            for (const auto &[numbers, isDelivered] : steps) {
+                now += seconds(1);
+                std::vector<ListedTarget> targets;
+                for (const int number : numbers)
+                    targets.push_back(target(number));
+                sender.replace(targets, now, now);
+                if (!isDelivered)
+                    continue;
+                (void)receiver.adopt(sender.report(sent, now), now);
+                sent = sender.digest();
+                RC_ASSERT(receiver.list() == sender.list());
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SharedTargetListTest);
+
+} // namespace
--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -50,10 +50,17 @@
 };
 
 template <>
-struct Fields<TargetListReport>
+struct Fields<TargetListDelta>
 {
     static constexpr auto List
-        = std::tuple(&TargetListReport::digest, &TargetListReport::age, &TargetListReport::targets);
+        = std::tuple(&TargetListDelta::base, &TargetListDelta::removed, &TargetListDelta::added);
+};
+
+template <>
+struct Fields<TargetListReport>
+{
+    static constexpr auto List = std::tuple(&TargetListReport::digest, &TargetListReport::age,
+                                            &TargetListReport::targets, &TargetListReport::delta);
 };
 
 template <>
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -70,12 +70,23 @@
     [[nodiscard]] auto operator<=>(const QuorumEnvelope &) const = default;
 };
 
-//! A reading of the platform's list of targets.
+//! What makes a list of targets out of an earlier one.
+struct TargetListDelta
+{
+    std::uint64_t base = 0; //!< Digest of the earlier list.
+    std::vector<std::uint32_t> removed; //!< Positions in the earlier list, rising.
+    std::vector<ListedTarget> added;
+
+    [[nodiscard]] auto operator<=>(const TargetListDelta &) const = default;
+};
+
+//! A reading of the platform's list of targets; without content if the receiver has this digest.
 struct TargetListReport
 {
     std::uint64_t digest = 0;
     Duration age { 0 }; //!< Time since it was read.
-    std::optional<std::vector<ListedTarget>> targets; //!< Absent if the receiver has this digest.
+    std::optional<std::vector<ListedTarget>> targets; //!< All of them.
+    std::optional<TargetListDelta> delta; //!< Instead of all, if the receiver has its base.
 
     [[nodiscard]] auto operator<=>(const TargetListReport &) const = default;
 };
--- a/packages/protocol/test/codec/fleet_codec_test.cpp
+++ b/packages/protocol/test/codec/fleet_codec_test.cpp
@@ -47,8 +47,10 @@
     return { ggv::HostReport { sampleHost(), 4, 5 },
              ggv::SightingReport { { { sampleHost(), Duration(12) } } },
              ggv::QuorumEnvelope { { 1, 2, ggv::VoteAnswer { 3, true, false } } },
-             ggv::TargetListReport { 8, Duration(9), { { sampleTarget() } } },
-             ggv::TargetListReport { 8, Duration(9), std::nullopt },
+             ggv::TargetListReport { 8, Duration(9), { { sampleTarget() } }, {} },
+             ggv::TargetListReport {
+                 8, Duration(9), {}, { { 7, { 0, 300 }, { sampleTarget() } } } },
+             ggv::TargetListReport { 8, Duration(9), {}, {} },
              feed };
 }
 
