Share what entry hosts see of busy and replaced targets

Cause: with 57 entry hosts and 468 targets each host hears of a target every few seconds. Now a host reports a target that is or was busy, or replaced, within 0.1 s; control hosts pass each report on once.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -7,6 +7,7 @@
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/coordination/fleet/member_policy.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
+#include <ggv/coordination/fleet/sighting_relay.hpp>
 #include <ggv/coordination/node/host_identity.hpp>
 #include <ggv/coordination/quorum/quorum.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
@@ -123,6 +124,7 @@
             m_directory.expire(now);
             sendSightings(now);
         }
+        passSightings(now);
         noteLeadership(now);
         adjustMembers(now);
         m_timer.expires_after(TickInterval);
@@ -303,6 +305,32 @@
 
     void handle(Session &, const FleetFeed &) { }
 
+    void handle(Session &session, const SightingsOfTargets &sightings)
+    {
+        const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
+        if (isEntry)
+            m_sightings.addFromEntry(sightings.targets, monotonicNow());
+        else
+            m_sightings.addFromControl(sightings.targets, monotonicNow());
+    }
+
+    void passSightings(Instant now)
+    {
+        const SightingsOfTargets forControl { m_sightings.takeForControl(now) };
+        if (!forControl.targets.empty()) {
+            for (const auto &peer : m_mesh.connected())
+                m_mesh.send(peer, forControl);
+        }
+        const SightingsOfTargets forEntry { m_sightings.takeForEntry(now) };
+        if (forEntry.targets.empty())
+            return;
+        const Bytes bytes = encodeFleetMessage(forEntry);
+        for (auto &[id, session] : m_sessions) {
+            if (session.report && session.report->host.role == HostRole::Entry)
+                session.connection->send(bytes);
+        }
+    }
+
     static void logHost(const HostAnnouncement &host)
     {
         logEvent(LogLevel::Info, "host-seen",
@@ -497,6 +525,7 @@
     std::uint64_t m_lastSession = 0;
     std::map<Endpoint, std::uint64_t> m_sentDigests; //!< Lists that control hosts were sent.
     SharedTargetList m_list;
+    SightingRelay m_sightings;
     RandomSource m_random;
     Instant m_sightingsSentAt = Instant(Duration(0));
     Instant m_listTriedAt = Instant(Duration(0));
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -73,6 +73,7 @@
         connectNext();
     if (m_connection && now - m_reportedAt >= ReportInterval)
         sendReport();
+    sendSightings();
     m_timer.expires_after(TickInterval);
     m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
         const auto self = weak.lock();
@@ -169,6 +170,14 @@
     m_connection->send(encodeFleetMessage(HostReport { m_self, m_revision, m_list.digest() }));
 }
 
+void EntryLink::sendSightings()
+{
+    // Taken in any case: what waits for a connection is old when there is one.
+    SightingsOfTargets sightings { m_handlers.takeSightings() };
+    if (m_connection && !sightings.targets.empty())
+        m_connection->send(encodeFleetMessage(sightings));
+}
+
 void EntryLink::receive(ByteView bytes)
 {
     try {
@@ -177,6 +186,8 @@
             handle(*feed);
         else if (const auto *report = std::get_if<TargetListReport>(&message))
             handle(*report);
+        else if (const auto *sightings = std::get_if<SightingsOfTargets>(&message))
+            m_handlers.onSightings(sightings->targets);
     } catch (const Error &error) {
         drop(error.what());
     }
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -27,6 +27,12 @@
     {
         std::function<void(const FleetFeed &)> onFeed; //!< Not older than the one before.
         std::function<void(const TargetList &, Duration age)> onTargets; //!< Changed content.
+        //! Gives what this host saw of targets since the last call.
+        std::function<std::vector<TargetSighting>()> takeSightings
+            = [] { return std::vector<TargetSighting>(); };
+        //! Called with what other entry hosts saw of targets.
+        std::function<void(const std::vector<TargetSighting> &)> onSightings
+            = [](const std::vector<TargetSighting> &) {};
     };
 
     //! @param context Loop. @param self What this host says of itself. @param seeds Internal
@@ -55,6 +61,7 @@
     void opened(std::shared_ptr<FrameConnection> connection);
     void drop(const char *reason);
     void sendReport();
+    void sendSightings();
     void receive(ByteView bytes);
     void handle(const FleetFeed &feed);
     void handle(const TargetListReport &report);
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -89,7 +89,11 @@
         m_link = EntryLink::start(
             m_pool.context(0), m_setup.self, m_setup.seeds,
             { [this](const FleetFeed &feed) { apply(feed); },
-              [this](const TargetList &list, Duration age) { apply(list, age); } });
+              [this](const TargetList &list, Duration age) { apply(list, age); },
+              [this] { return m_context.targets().takeSightings(monotonicNow()); },
+              [this](const std::vector<TargetSighting> &sightings) {
+                  m_context.targets().adoptSightings(sightings, monotonicNow());
+              } });
         logEvent(LogLevel::Info, "gateway-started",
                  { { "address", m_setup.self.service.address } });
     }
--- /dev/null
+++ b/packages/coordination/test/fleet/sighting_relay_test.cpp
@@ -0,0 +1,71 @@
+#include <ggv/coordination/fleet/sighting_relay.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using ggv::Duration;
+using ggv::Instant;
+using ggv::SightingRelay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant Start { seconds(100) };
+
+class SightingRelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SightingRelayTest);
+    CPPUNIT_TEST(eachSightingIsPassedOnOnce);
+    CPPUNIT_TEST(whatControlHostsPassOnDoesNotReturnToThem);
+    CPPUNIT_TEST(olderSightingsAreLeftOut);
+    CPPUNIT_TEST(memoryIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void eachSightingIsPassedOnOnce()
+    {
+        SightingRelay relay;
+        relay.addFromEntry({ { "t", 9, false, milliseconds(50) } }, Start);
+        const auto sent = relay.takeForControl(Start + milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, sent.size());
+        CPPUNIT_ASSERT(Duration(milliseconds(150)) == sent.front().age);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 9 }, sent.front().load);
+        CPPUNIT_ASSERT(relay.takeForControl(Start + milliseconds(200)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, relay.takeForEntry(Start).size());
+        CPPUNIT_ASSERT(relay.takeForEntry(Start).empty());
+    }
+
+    void whatControlHostsPassOnDoesNotReturnToThem()
+    {
+        SightingRelay relay;
+        relay.addFromControl({ { "t", 9, false, Duration(0) } }, Start);
+        CPPUNIT_ASSERT(relay.takeForControl(Start).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, relay.takeForEntry(Start).size());
+    }
+
+    void olderSightingsAreLeftOut()
+    {
+        SightingRelay relay;
+        relay.addFromEntry({ { "t", 9, false, Duration(0) } }, Start);
+        relay.addFromControl({ { "t", 3, false, milliseconds(100) } }, Start);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 9 }, relay.takeForEntry(Start).front().load);
+        relay.addFromEntry({ { "u", 9, false, seconds(3) } }, Start);
+        CPPUNIT_ASSERT(relay.takeForEntry(Start).empty());
+        relay.addFromEntry({ { "v", 9, false, Duration(0) } }, Start);
+        CPPUNIT_ASSERT(relay.takeForEntry(Start + seconds(3)).empty());
+    }
+
+    void memoryIsBounded()
+    {
+        SightingRelay relay;
+        std::vector<ggv::TargetSighting> many;
+        for (std::size_t n = 0; n < SightingRelay::MaxTargets + 10; ++n)
+            many.push_back({ std::to_string(n), 1, false, Duration(0) });
+        relay.addFromEntry(many, Start);
+        CPPUNIT_ASSERT_EQUAL(SightingRelay::MaxTargets, relay.takeForEntry(Start).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SightingRelayTest);
+
+} // namespace
--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -63,6 +63,19 @@
                                             &TargetListReport::targets, &TargetListReport::delta);
 };
 
+template <>
+struct Fields<TargetSighting>
+{
+    static constexpr auto List = std::tuple(&TargetSighting::instance, &TargetSighting::load,
+                                            &TargetSighting::replaced, &TargetSighting::age);
+};
+
+template <>
+struct Fields<SightingsOfTargets>
+{
+    static constexpr auto List = std::tuple(&SightingsOfTargets::targets);
+};
+
 template <>
 struct Fields<FleetFeed>
 {
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -5,6 +5,7 @@
 #include <ggv/state/core/time.hpp>
 #include <ggv/state/model/entities.hpp>
 #include <ggv/state/routing/listed_target.hpp>
+#include <ggv/state/routing/target_sighting.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -91,6 +92,14 @@
     [[nodiscard]] auto operator<=>(const TargetListReport &) const = default;
 };
 
+//! What entry hosts saw of targets since the sender's last message.
+struct SightingsOfTargets
+{
+    std::vector<TargetSighting> targets;
+
+    [[nodiscard]] auto operator<=>(const SightingsOfTargets &) const = default;
+};
+
 //! What an entry host has to know, from its control host.
 struct FleetFeed
 {
@@ -104,8 +113,8 @@
     [[nodiscard]] auto operator<=>(const FleetFeed &) const = default;
 };
 
-using FleetMessage
-    = std::variant<HostReport, SightingReport, QuorumEnvelope, TargetListReport, FleetFeed>;
+using FleetMessage = std::variant<HostReport, SightingReport, QuorumEnvelope, TargetListReport,
+                                  FleetFeed, SightingsOfTargets>;
 
 //! Replaces the operators' configuration.
 struct ChangeConfiguration
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -3,6 +3,7 @@
 #include <ggv/state/routing/target_affinity.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace ggv {
 
@@ -31,6 +32,7 @@
 constexpr const char *ConnectSource = "connection-refused";
 constexpr const char *EvacuationSource = "evacuation-ended";
 constexpr const char *AnswerSource = "answer";
+constexpr const char *SharedSource = "other-entry-host";
 //! Objects of one target that are remembered, and for how long.
 constexpr std::size_t MaxObjects = 1024;
 constexpr Duration ObjectMemory = std::chrono::seconds(30);
@@ -154,6 +156,7 @@
         services[listing.service].push_back(target);
     }
     removeMissing(byInstance, age);
+    std::erase_if(m_toShare, [&](const auto &it) { return !byInstance.contains(it); });
     m_byInstance = std::move(byInstance);
     m_services = std::move(services);
 }
@@ -434,13 +437,52 @@
     target.m_reportedAt = now;
     if (load.slots > 0)
         target.m_listing.slots = load.slots;
+    const bool isBusy = total >= target.m_listing.slots;
+    if (isBusy || target.m_wasBusy)
+        m_toShare.insert(target.m_listing.instance);
+    target.m_wasBusy = isBusy;
+}
+
+std::vector<TargetSighting> TargetPool::takeSightings(Instant now)
+{
+    std::vector<TargetSighting> sightings;
+    for (const auto &instance : std::exchange(m_toShare, {})) {
+        const auto it = m_byInstance.find(instance);
+        if (it == m_byInstance.end())
+            continue;
+        const auto &target = *it->second;
+        const auto load = static_cast<std::uint32_t>(target.m_othersLoad + target.m_inFlight);
+        const Duration age = target.m_replaced ? Duration(0) : now - target.m_reportedAt;
+        sightings.push_back({ instance, load, target.m_replaced, age });
+    }
+    return sightings;
+}
+
+void TargetPool::adoptSightings(const std::vector<TargetSighting> &sightings, Instant now)
+{
+    for (const auto &it : sightings) {
+        const auto known = m_byInstance.find(it.instance);
+        if (known == m_byInstance.end())
+            continue;
+        auto &target = *known->second;
+        if (it.replaced && !target.m_replaced) {
+            target.m_replaced = true;
+            report(target, TargetBelief::Replaced, SharedSource, it.age);
+        }
+        if (it.replaced || now - it.age <= target.m_reportedAt)
+            continue;
+        target.m_othersLoad = std::max(0.0, static_cast<double>(it.load) - target.m_inFlight);
+        target.m_reportedAt = now - it.age;
+    }
 }
 
 void TargetPool::observeReplaced(PooledTarget &target)
 {
-    if (!target.m_replaced)
-        report(target, TargetBelief::Replaced, AnswerSource);
+    if (target.m_replaced)
+        return;
     target.m_replaced = true;
+    m_toShare.insert(target.m_listing.instance);
+    report(target, TargetBelief::Replaced, AnswerSource);
 }
 
 void TargetPool::observeRestart(PooledTarget &target, Instant now)
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -4,6 +4,7 @@
 #include <ggv/state/health/target_health.hpp>
 #include <ggv/state/routing/listed_target.hpp>
 #include <ggv/state/routing/route_table.hpp>
+#include <ggv/state/routing/target_sighting.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -64,6 +65,7 @@
     std::uint32_t m_inFlight = 0;
     double m_othersLoad = 0.0; //!< Requests of other hosts, by the newest report.
     Instant m_reportedAt = Instant::min();
+    bool m_wasBusy = false; //!< By the newest own report: all its slots were taken.
     bool m_isDown = false; //!< As reported.
     bool m_replaced = false; //!< Another instance answered at its address.
     Instant m_coldUntil = Instant::min();
@@ -169,6 +171,10 @@
     void observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now);
     //! Another instance answered at the target's address: it gets nothing until it is listed anew.
     void observeReplaced(PooledTarget &target);
+    //! @return What was seen since the last call of targets that are or were busy, or replaced.
+    [[nodiscard]] std::vector<TargetSighting> takeSightings(Instant now);
+    //! Takes in what other entry hosts saw; own newer evidence counts first.
+    void adoptSightings(const std::vector<TargetSighting> &sightings, Instant now);
     //! The target may have restarted: it counts as cold until the platform's list says otherwise.
     void observeRestart(PooledTarget &target, Instant now);
 
@@ -226,6 +232,7 @@
     std::map<ServiceName, ServicePolicy> m_policies;
     std::map<ServiceName, ServiceTimes> m_times;
     std::set<FailureDomainName> m_evacuated;
+    std::set<std::string> m_toShare; //!< Instances that other entry hosts should know of.
     std::size_t m_entryHosts = 1;
     bool m_hasList = false;
 };
--- a/packages/state/test/routing/target_pool_test.cpp
+++ b/packages/state/test/routing/target_pool_test.cpp
@@ -85,6 +85,8 @@
     CPPUNIT_TEST(aTargetThatBecomesWarmIsNotFlooded);
     CPPUNIT_TEST(failingTargetsAreHeldBackUnlessMostFail);
     CPPUNIT_TEST(triedTargetsAreNotChosenAgain);
+    CPPUNIT_TEST(whatOneHostSeesAllKnow);
+    CPPUNIT_TEST(quietTargetsAreNotShared);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -323,6 +325,52 @@
         CPPUNIT_ASSERT(!m_pool->choose(wanted, TimeLeft, m_now, m_random).target);
     }
 
+    void whatOneHostSeesAllKnow()
+    {
+        TargetPool other(sampleTopology());
+        other.setRules(sampleRules());
+        other.update(sampleList(), Duration(0), m_now);
+        const auto home = choose(7).target;
+        m_pool->observeLoad(*home, { 4, 60, 4 }, m_now);
+        m_now += milliseconds(200);
+        auto sightings = m_pool->takeSightings(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, sightings.size());
+        CPPUNIT_ASSERT(Duration(milliseconds(200)) == sightings.front().age);
+        CPPUNIT_ASSERT(m_pool->takeSightings(m_now).empty());
+        other.adoptSightings(sightings, m_now);
+        const auto elsewhere = other.choose(demand(7), TimeLeft, m_now, m_random);
+        CPPUNIT_ASSERT(elsewhere.target->listing().instance != home->listing().instance);
+        // An older report changes nothing.
+        sightings.front().load = 0;
+        sightings.front().age = seconds(1);
+        other.adoptSightings(sightings, m_now);
+        CPPUNIT_ASSERT(other.choose(demand(7), TimeLeft, m_now, m_random).target->listing().instance
+                       != home->listing().instance);
+        m_pool->observeReplaced(*home);
+        other.adoptSightings(m_pool->takeSightings(m_now), m_now);
+        CPPUNIT_ASSERT(other.takeSightings(m_now).empty());
+        for (int n = 0; n < 100; ++n) {
+            const auto choice = other.choose(demand(7), TimeLeft, m_now, m_random);
+            if (!choice.target)
+                break;
+            CPPUNIT_ASSERT(choice.target->listing().instance != home->listing().instance);
+        }
+    }
+
+    void quietTargetsAreNotShared()
+    {
+        const auto target = choose(7).target;
+        m_pool->observeLoad(*target, { 2, 0, 4 }, m_now);
+        CPPUNIT_ASSERT(m_pool->takeSightings(m_now).empty());
+        m_pool->observeLoad(*target, { 4, 0, 4 }, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_pool->takeSightings(m_now).size());
+        // That it is no longer busy is news, too.
+        m_pool->observeLoad(*target, { 1, 0, 4 }, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_pool->takeSightings(m_now).size());
+        m_pool->observeLoad(*target, { 1, 0, 4 }, m_now);
+        CPPUNIT_ASSERT(m_pool->takeSightings(m_now).empty());
+    }
+
 private:
     TargetDemand demand(std::uint64_t object) const
     {
