Take a cold time that runs down for no change of the list of targets

Each reading gave each cold target a shorter cold time and so was a change to the whole list, sent on to every host. Ruled out: leaving the cold time out of the digest (a target that becomes cold again must be a change). Now a reading that fits the first one keeps its time, unless it is longer than expected: then the target may have restarted. Tests: aColdTimeThatRunsDownIsNoChange, anUnchangedColdTimeIsNotExtended.

--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
@@ -15,6 +15,10 @@
 constexpr Duration NeverRead = std::chrono::hours(24);
 //! Lists of which a receiver may have one when it is sent a change.
 constexpr std::size_t FormerLists = 4;
+//! A cold time that was read is one that runs down if it is shorter than expected by this much at
+//! most, or longer by the other; a longer one may be that of a restart.
+constexpr Duration ColdShorter = std::chrono::milliseconds(400);
+constexpr Duration ColdLonger = std::chrono::milliseconds(100);
 
 std::uint64_t digestOf(const std::vector<ListedTarget> &targets)
 {
@@ -67,8 +71,28 @@
         m_former.pop_front();
 }
 
+void SharedTargetList::keepColdTimes(std::vector<ListedTarget> &targets, Instant readAt)
+{
+    std::map<std::string, ColdReading> cold;
+    for (auto &it : targets) {
+        if (it.coldFor <= Duration(0))
+            continue;
+        ColdReading reading { it.coldFor, readAt };
+        const auto known = m_cold.find(it.instance);
+        if (known != m_cold.end()) {
+            const Duration expected = known->second.coldFor - (readAt - known->second.readAt);
+            if (it.coldFor >= expected - ColdShorter && it.coldFor <= expected + ColdLonger)
+                reading = known->second;
+        }
+        it.coldFor = reading.coldFor;
+        cold[it.instance] = reading;
+    }
+    m_cold = std::move(cold);
+}
+
 void SharedTargetList::replace(std::vector<ListedTarget> targets, Instant readAt, Instant now)
 {
+    keepColdTimes(targets, readAt);
     std::sort(targets.begin(), targets.end());
     const std::uint64_t digest = digestOf(targets);
     setContent({ digest, std::move(targets) });
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.hpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.hpp
@@ -3,7 +3,9 @@
 #include <ggv/protocol/message/fleet_message.hpp>
 
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace ggv {
@@ -14,7 +16,8 @@
 class SharedTargetList
 {
 public:
-    //! Takes in an own reading that began at an instant.
+    //! Takes in an own reading that began at an instant. A target whose cold time just runs down
+    //! keeps the time that was read first, so that it is no change.
     void replace(std::vector<ListedTarget> targets, Instant readAt, Instant now);
     //! Takes in a report; a change to a list that is not known here is left out.
     //! @return True if the content changed.
@@ -33,6 +36,14 @@
     [[nodiscard]] const TargetList &list() const noexcept { return m_list; }
 
 private:
+    //! What the list said of a cold target when it was read first.
+    struct ColdReading
+    {
+        Duration coldFor { 0 };
+        Instant readAt;
+    };
+
+    void keepColdTimes(std::vector<ListedTarget> &targets, Instant readAt);
     void setContent(TargetList list);
     [[nodiscard]] bool isNews(const TargetListReport &report, Instant now) const noexcept;
     [[nodiscard]] std::optional<TargetList> contentOf(const TargetListReport &report) const;
@@ -40,6 +51,7 @@
 
     TargetList m_list;
     std::deque<TargetList> m_former; //!< Newest last, as bases of changes.
+    std::map<std::string, ColdReading> m_cold; //!< By instance, of own readings.
     Instant m_readAt = Instant::min();
     Instant m_newsAt = Instant::min();
 };
--- a/packages/coordination/test/fleet/shared_target_list_test.cpp
+++ b/packages/coordination/test/fleet/shared_target_list_test.cpp
@@ -10,6 +10,7 @@
 using ggv::Instant;
 using ggv::ListedTarget;
 using ggv::SharedTargetList;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr int Targets = 300;
@@ -39,6 +40,7 @@
     CPPUNIT_TEST(aSmallChangeIsASmallMessage);
     CPPUNIT_TEST(anUnknownBaseGetsEverything);
     CPPUNIT_TEST(aReadingFromAfarIsNews);
+    CPPUNIT_TEST(aColdTimeThatRunsDownIsNoChange);
     CPPUNIT_TEST(receiversFollowAnyHistory);
     CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +87,26 @@
         CPPUNIT_ASSERT(Duration(seconds(1)) == receiver.newsAge(Start + seconds(2)));
     }
 
+    void aColdTimeThatRunsDownIsNoChange()
+    {
+        SharedTargetList list;
+        list.replace({ target(1, seconds(3)) }, Start, Start);
+        const auto digest = list.digest();
+        list.replace({ target(1, milliseconds(2100)) }, Start + seconds(1), Start + seconds(1));
+        list.replace({ target(1, milliseconds(800)) }, Start + seconds(2), Start + seconds(2));
+        CPPUNIT_ASSERT_EQUAL(digest, list.digest());
+        // A little too long: it may have restarted.
+        list.replace({ target(1, milliseconds(950)) }, Start + milliseconds(2300),
+                     Start + milliseconds(2300));
+        CPPUNIT_ASSERT(Duration(milliseconds(950)) == list.list().targets.front().coldFor);
+        // Cold once more, and warm.
+        list.replace({ target(1, seconds(3)) }, Start + seconds(3), Start + seconds(3));
+        CPPUNIT_ASSERT(Duration(seconds(3)) == list.list().targets.front().coldFor);
+        list.replace({ target(1, seconds(3)) }, Start + seconds(4), Start + seconds(4));
+        list.replace({ target(1) }, Start + seconds(7), Start + seconds(7));
+        CPPUNIT_ASSERT(digest != list.digest());
+    }
+
     void receiversFollowAnyHistory()
     {
         CPPUNIT_ASSERT(rc::check("a receiver ends with the sender's list", [] {
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -143,6 +143,7 @@
             ? known->second
             : std::make_shared<PooledTarget>(listing, m_topology.regionOf(listing.domain));
         const bool wasLeaving = same && target->m_listing.leaving;
+        const bool isColdAnew = !same || target->m_listing.coldFor != listing.coldFor;
         target->m_listing = listing;
         target->m_listing.leaving = listing.leaving || wasLeaving;
         if (!same)
@@ -150,7 +151,7 @@
         if (target->m_listing.leaving && !wasLeaving)
             report(*target, TargetBelief::Leaving, ListSource, age);
         // The time that the list was under way is not subtracted: it may have been written late.
-        if (listing.coldFor > Duration(0))
+        if (isColdAnew && listing.coldFor > Duration(0))
             learnCold(*target, listing.coldFor + ColdMargin, ListSource, age, now);
         byInstance[listing.instance] = target;
         services[listing.service].push_back(target);
--- a/packages/state/test/routing/target_pool_test.cpp
+++ b/packages/state/test/routing/target_pool_test.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(aTargetThatBecomesWarmIsNotFlooded);
     CPPUNIT_TEST(failingTargetsAreHeldBackUnlessMostFail);
     CPPUNIT_TEST(triedTargetsAreNotChosenAgain);
+    CPPUNIT_TEST(anUnchangedColdTimeIsNotExtended);
     CPPUNIT_TEST(whatOneHostSeesAllKnow);
     CPPUNIT_TEST(quietTargetsAreNotShared);
     CPPUNIT_TEST_SUITE_END();
@@ -325,6 +326,29 @@
         CPPUNIT_ASSERT(!m_pool->choose(wanted, TimeLeft, m_now, m_random).target);
     }
 
+    void anUnchangedColdTimeIsNotExtended()
+    {
+        auto list = sampleList();
+        for (auto &it : list.targets)
+            it.coldFor = seconds(2);
+        std::vector<Duration> lasting;
+        m_pool->setObserver([&lasting](const ggv::TargetChange &change) {
+            if (change.belief == ggv::TargetBelief::Cold)
+                lasting.push_back(change.lasts);
+        });
+        m_pool->update(list, Duration(0), m_now);
+        CPPUNIT_ASSERT_EQUAL(list.targets.size(), lasting.size());
+        m_now += seconds(1);
+        m_pool->update(list, Duration(0), m_now);
+        m_now += milliseconds(1500);
+        // The time is over; said again with another length, it begins anew.
+        m_pool->update(list, Duration(0), m_now);
+        CPPUNIT_ASSERT_EQUAL(list.targets.size(), lasting.size());
+        list.targets.front().coldFor = milliseconds(1900);
+        m_pool->update(list, Duration(0), m_now);
+        CPPUNIT_ASSERT_EQUAL(list.targets.size() + 1, lasting.size());
+    }
+
     void whatOneHostSeesAllKnow()
     {
         TargetPool other(sampleTopology());
