Tell each start of a process apart when a request is explained

A host that never had a confirmed state gave the age of its clock. Ruled out: sorting by the time of day, which may jump. Now lines of a process count from its last start to the request's end, in their order, and the age of the state counts from the start. RequestStoryTest::earlierAndLaterStartsSayNothing failed before (2 beliefs, age 8,895 ms).

--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -47,7 +47,7 @@
     void setReady(bool ready);
     //! Replaces the addresses that are tried when no known control host answers.
     void setSeeds(std::vector<Endpoint> seeds);
-    //! @return Time since the last confirmed state.
+    //! @return Time since the last confirmed state, or since the start if there was none.
     [[nodiscard]] Duration stateAge() const;
     //! @return Time since the list of targets was read.
     [[nodiscard]] Duration listAge() const;
@@ -84,7 +84,7 @@
     Instant m_reportedAt = Instant(Duration(0));
     Instant m_openedAt = Instant(Duration(0));
     bool m_peerIsBehind = false; //!< The control host says that it follows no confirmed leader.
-    Instant m_currentAt = Instant(Duration(0)); //!< Last feed of a confirmed state.
+    Instant m_currentAt = monotonicNow(); //!< Last feed of a confirmed state, or the start.
 };
 
 } // namespace ggv
--- a/packages/coordination/test/fleet/shared_target_list_test.cpp
+++ b/packages/coordination/test/fleet/shared_target_list_test.cpp
@@ -29,6 +29,7 @@
 std::vector<ListedTarget> manyTargets()
 {
     std::vector<ListedTarget> targets;
+    targets.reserve(Targets);
     for (int n = 0; n < Targets; ++n)
         targets.push_back(target(n));
     return targets;
--- a/packages/state/ggv/state/log/request_story.cpp
+++ b/packages/state/ggv/state/log/request_story.cpp
@@ -106,6 +106,8 @@
     void readContext(const LoggedEvent &event)
     {
         if (event.process == m_end->process)
+            followOwnProcess(event);
+        if (event.process == m_end->process && !m_isPastEnd)
             readOwnProcess(event);
         if (event.event == "configuration-ordered" && event.text("outcome") == "ok"
             && event.timeMs <= m_end->timeMs)
@@ -130,21 +132,31 @@
     }
 
 private:
+    // Lines of one process come in order; its clock begins anew with each start.
+    void followOwnProcess(const LoggedEvent &event)
+    {
+        if (event.event == "process-started" && !m_isPastEnd) {
+            m_beliefs.clear();
+            m_serviceBeliefs.clear();
+            m_targetBeliefs.clear();
+        }
+        m_isPastEnd = m_isPastEnd
+            || (event.event == m_end->event && event.uptimeUs == m_end->uptimeUs
+                && event.text("request") == m_id);
+    }
+
     bool isBefore(const LoggedEvent &event) const
     {
-        if (event.process == m_end->process)
-            return event.uptimeUs <= m_end->uptimeUs;
-        return event.timeMs <= m_end->timeMs;
+        return event.process == m_end->process ? !m_isPastEnd : event.timeMs <= m_end->timeMs;
     }
 
     void readOwnProcess(const LoggedEvent &event)
     {
         const bool counts = std::find(ProcessBeliefs.begin(), ProcessBeliefs.end(), event.event)
             != ProcessBeliefs.end();
-        if (counts && isBefore(event))
+        if (counts)
             m_beliefs[event.event] = event;
-        if (event.event == "target-belief" && event.text("service") == m_end->text("service")
-            && isBefore(event))
+        if (event.event == "target-belief" && event.text("service") == m_end->text("service"))
             m_serviceBeliefs[event.text("target")] = event;
     }
 
@@ -167,7 +179,8 @@
 
     void addBelief(const LoggedEvent &event)
     {
-        const Duration age = event.process == m_end->process
+        const bool isOwn = event.process == m_end->process && event.uptimeUs <= m_end->uptimeUs;
+        const Duration age = isOwn
             ? Duration(m_end->uptimeUs - event.uptimeUs)
             : Duration(std::chrono::milliseconds(m_end->timeMs - event.timeMs));
         m_story.beliefs.push_back({ event, age });
@@ -249,6 +262,7 @@
     std::map<std::string, std::set<std::string>> m_failedAt;
     std::int64_t m_acceptedVersion = 0;
     std::size_t m_leaderChanges = 0;
+    bool m_isPastEnd = false; //!< The line that ended the request was read.
 };
 
 } // namespace
--- a/packages/state/ggv/state/log/request_story.hpp
+++ b/packages/state/ggv/state/log/request_story.hpp
@@ -32,6 +32,7 @@
  * @brief Puts together what the logs of several processes say of a request.
  *
  * Ages within a process come from its steady clock, those between processes from the time of day.
+ * Lines of one process must come in the order in which it wrote them.
  * @param requestId The id that the caller has.
  * @param source The logs; read twice.
  * @return The story; without lines if no log mentions the request.
--- a/packages/state/test/log/request_story_test.cpp
+++ b/packages/state/test/log/request_story_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(aLostTargetIsNamed);
     CPPUNIT_TEST(anOldConfigurationIsNamed);
     CPPUNIT_TEST(aFullServiceIsNamed);
+    CPPUNIT_TEST(earlierAndLaterStartsSayNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +118,23 @@
         CPPUNIT_ASSERT(says(story, "1 target of s down"));
         CPPUNIT_ASSERT(says(story, "1 target of s cold"));
     }
+
+    // The clock of a machine that lost power begins anew.
+    void earlierAndLaterStartsSayNothing()
+    {
+        auto earlier = at(10, "e", "configuration-in-force", { { "version", "1" } });
+        earlier.uptimeUs = 5;
+        auto later = at(9000, "e", "target-list-in-force");
+        later.uptimeUs = 1;
+        const auto story = tell("r",
+                                { earlier, at(100, "e", "process-started"),
+                                  at(900, "e", "request-refused",
+                                     { { "request", "r" }, { "reason", "no-configuration" } }),
+                                  at(8999, "e", "process-started"), later });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, story.beliefs.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("process-started"), story.beliefs.front().event.event);
+        CPPUNIT_ASSERT(ggv::Duration(800'000) == story.beliefs.front().age);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestStoryTest);
