--- a/packages/greengagevalvectl/ggv/ctl/exit_code.hpp
+++ b/packages/greengagevalvectl/ggv/ctl/exit_code.hpp
@@ -10,7 +10,7 @@
     Refused = 1, //!< A change was refused, or is not in force everywhere in time.
     Usage = 2,
     Unreachable = 3, //!< No host answered, or the outcome of a change is unknown.
-    Faults = 4, //!< The register file has faults.
+    Faults = 4, //!< The register file has faults, or logs do not mention a request.
     NotAuthorized = 5,
 };
 
