Give each process a random claimant id and each report type its own name

Cause: the id of a process was the wall clock in milliseconds, and it was also the host part of ClaimId, so that two hosts started in the same millisecond took each other's claims for their own: a non-idempotent request could run twice. The claimant id is a random number now, as ClaimId documents; the process id, which only has to grow from start to start of one host, stays. Two structs were named ggv::HostReport, each with a specialisation of Fields: a violation of the one-definition rule. The one of the register's hosts is HostStatusReport now.

--- a/packages/coordination/ggv/coordination/claims/claim_client.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.cpp
@@ -30,10 +30,10 @@
 class ClaimClient::Implementation
 {
 public:
-    Implementation(std::uint64_t process, std::vector<MemberId> members,
+    Implementation(std::uint64_t claimant, std::vector<MemberId> members,
                    const ClaimClientOptions &options)
         : m_options(options)
-        , m_process(process)
+        , m_claimant(claimant)
         , m_members(std::move(members))
     { }
 
@@ -67,7 +67,7 @@
     void erase(Calls::iterator call);
 
     ClaimClientOptions m_options;
-    std::uint64_t m_process;
+    std::uint64_t m_claimant;
     std::vector<MemberId> m_members;
     std::size_t m_leaderIndex = 0; // Index of the presumed leader.
     std::uint64_t m_nextSequence = 1;
@@ -94,7 +94,7 @@
     if (m_pendingClaims >= m_options.maxPendingClaims)
         return std::nullopt;
     const auto sequence = m_nextSequence++;
-    request.claim = { m_process, sequence };
+    request.claim = { m_claimant, sequence };
     ++m_pendingClaims;
     send(addCall(sequence, request, deadline, now), now);
     return request.claim;
@@ -102,7 +102,7 @@
 
 void ClaimClient::Implementation::abandon(const ClaimId &claim, Instant now)
 {
-    const auto it = claim.host == m_process ? m_calls.find(claim.sequence) : m_calls.end();
+    const auto it = claim.host == m_claimant ? m_calls.find(claim.sequence) : m_calls.end();
     if (it != m_calls.end() && claimOf(it->second) != nullptr)
         abandonCall(it, now);
 }
@@ -123,7 +123,7 @@
 void ClaimClient::Implementation::receive(const ClaimCallAnswer &answer, Instant now)
 {
     const auto it
-        = answer.id.process == m_process ? m_calls.find(answer.id.sequence) : m_calls.end();
+        = answer.id.process == m_claimant ? m_calls.find(answer.id.sequence) : m_calls.end();
     if (it == m_calls.end())
         return;
     if (it->second.end <= now) {
@@ -227,7 +227,7 @@
     schedule(call, now + m_options.resendAfter);
     if (m_members.empty())
         return;
-    const ClaimCallId id { m_process, call->first };
+    const ClaimCallId id { m_claimant, call->first };
     m_output.outgoingCalls.push_back({ m_members[m_leaderIndex], { id, call->second.command } });
 }
 
@@ -266,9 +266,9 @@
     return m_schedule.empty() ? m_nextProbe : std::min(m_nextProbe, m_schedule.begin()->first);
 }
 
-ClaimClient::ClaimClient(std::uint64_t process, std::vector<MemberId> members,
+ClaimClient::ClaimClient(std::uint64_t claimant, std::vector<MemberId> members,
                          const ClaimClientOptions &options)
-    : m_implementation(std::make_unique<Implementation>(process, std::move(members), options))
+    : m_implementation(std::make_unique<Implementation>(claimant, std::move(members), options))
 { }
 
 ClaimClient::~ClaimClient() = default;
--- a/packages/coordination/ggv/coordination/claims/claim_client.hpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.hpp
@@ -67,12 +67,11 @@
 public:
     /**
      * @brief Creates a client.
-     * @param process Id of this process; part of every ClaimId, so it must be unique among all
-     * processes.
+     * @param claimant ClaimId::host of all claims; unique among all processes.
      * @param members Members of the claim group; while the list is empty, nothing is sent.
      * @param options Timing and limits.
      */
-    ClaimClient(std::uint64_t process, std::vector<MemberId> members,
+    ClaimClient(std::uint64_t claimant, std::vector<MemberId> members,
                 const ClaimClientOptions &options = {});
     ~ClaimClient();
     ClaimClient(const ClaimClient &) = delete;
--- a/packages/coordination/ggv/coordination/claims/claim_service.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_service.cpp
@@ -5,8 +5,8 @@
 
 namespace ggv {
 
-ClaimService::ClaimService(ProcessId process, QuorumSet &quorums, SendHandler onSend)
-    : m_process(process)
+ClaimService::ClaimService(std::uint64_t claimant, QuorumSet &quorums, SendHandler onSend)
+    : m_claimant(claimant)
     , m_quorums(quorums)
     , m_onSend(std::move(onSend))
     , m_positions(std::make_shared<const Positions>())
@@ -29,7 +29,7 @@
         auto &group = m_groups[it.name.text()];
         group.voters = it.voters;
         if (!group.client)
-            group.client = std::make_unique<ClaimClient>(m_process, membersOf(it.voters));
+            group.client = std::make_unique<ClaimClient>(m_claimant, membersOf(it.voters));
         auto &position = (*positions)[it.name.text()];
         if (!position)
             position = std::make_shared<std::atomic<std::uint64_t>>(0);
--- a/packages/coordination/ggv/coordination/claims/claim_service.hpp
+++ b/packages/coordination/ggv/coordination/claims/claim_service.hpp
@@ -25,11 +25,11 @@
 
     /**
      * @brief Creates the service.
-     * @param process Id of this process; see ClaimClient.
+     * @param claimant Result of createClaimantId().
      * @param quorums Quorums of this host.
      * @param onSend Called to send a message to another host.
      */
-    ClaimService(ProcessId process, QuorumSet &quorums, SendHandler onSend);
+    ClaimService(std::uint64_t claimant, QuorumSet &quorums, SendHandler onSend);
 
     //! Applies the claim groups of a register.
     void setGroups(const std::vector<ClaimGroup> &groups);
@@ -67,7 +67,7 @@
     void propose(const std::string &group, const ClaimCall &call,
                  std::function<void(ClaimCallAnswer)> onAnswer);
 
-    ProcessId m_process;
+    std::uint64_t m_claimant;
     QuorumSet &m_quorums;
     SendHandler m_onSend;
     std::map<std::string, Group> m_groups;
--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -1,6 +1,7 @@
 #include <ggv/coordination/control/control_plane.hpp>
 
 #include <ggv/coordination/claims/claim_state_machine.hpp>
+#include <ggv/coordination/claims/claimant_id.hpp>
 #include <ggv/coordination/control/configuration_feed.hpp>
 #include <ggv/coordination/control/configuration_state_machine.hpp>
 #include <ggv/coordination/control/host_tracker.hpp>
@@ -91,7 +92,7 @@
         };
         m_quorums = std::make_unique<QuorumSet>(m_context, m_disk.get(), m_self, incarnation, send);
         m_proposer = std::make_unique<Proposer>(*m_quorums, send);
-        m_claims = std::make_unique<ClaimService>(m_setup.process, *m_quorums, send);
+        m_claims = std::make_unique<ClaimService>(createClaimantId(), *m_quorums, send);
         m_leases = std::make_unique<LeaseService>(
             m_self, *m_quorums, send, [this](const LeaseAnswer &answer) { onLeaseAnswer(answer); });
         m_holder.emplace(createHolder());
@@ -278,7 +279,7 @@
             m_requestTrigger.makeDue();
     }
 
-    void receive(const HostName &host, const HostReports &reports)
+    void receive(const HostName &host, const HostStatusReports &reports)
     {
         const Instant now = monotonicNow();
         if (const auto it = m_downstreams.find(host); it != m_downstreams.end())
@@ -443,7 +444,7 @@
         if (!m_reportTrigger.tryFire(now))
             return;
         m_tracker.observe(ownReport(), now);
-        m_network->send(m_upstream, HostReports { m_tracker.reportsSince(m_lastReport) });
+        m_network->send(m_upstream, HostStatusReports { m_tracker.reportsSince(m_lastReport) });
         m_lastReport = now;
     }
 
@@ -479,7 +480,7 @@
         }
     }
 
-    HostReport ownReport()
+    HostStatusReport ownReport()
     {
         return { m_self, m_setup.process, ++m_reportSequence,
                  m_published ? m_published->version() : 0, m_leaving };
--- a/packages/coordination/ggv/coordination/control/host_tracker.cpp
+++ b/packages/coordination/ggv/coordination/control/host_tracker.cpp
@@ -2,7 +2,7 @@
 
 namespace ggv {
 
-void HostTracker::observe(const HostReport &report, Instant now)
+void HostTracker::observe(const HostStatusReport &report, Instant now)
 {
     auto &record = m_hosts[report.host];
     const bool sameProcess = record.report.process == report.process;
@@ -60,9 +60,9 @@
     return exceptions;
 }
 
-std::vector<HostReport> HostTracker::reportsSince(Instant since) const
+std::vector<HostStatusReport> HostTracker::reportsSince(Instant since) const
 {
-    std::vector<HostReport> reports;
+    std::vector<HostStatusReport> reports;
     for (const auto &[host, record] : m_hosts) {
         if (record.receivedAt != Instant::min() && record.receivedAt >= since)
             reports.push_back(record.report);
--- a/packages/coordination/ggv/coordination/control/host_tracker.hpp
+++ b/packages/coordination/ggv/coordination/control/host_tracker.hpp
@@ -22,7 +22,7 @@
     static constexpr Duration StoppedEvidenceLifetime = std::chrono::milliseconds(2000);
 
     //! Records a report; ignores it unless it is newer than the last one of the same process.
-    void observe(const HostReport &report, Instant now);
+    void observe(const HostStatusReport &report, Instant now);
     //! Records that the host's operating system refused a connection.
     void recordConnectionRefused(const HostName &host, Instant now);
     //! Removes all records. Called by a newly elected leader.
@@ -36,14 +36,14 @@
      */
     [[nodiscard]] std::vector<HostException> exceptions(const Register &content, Instant now) const;
     //! Returns the latest report of each host that arrived at or after a point in time.
-    [[nodiscard]] std::vector<HostReport> reportsSince(Instant since) const;
+    [[nodiscard]] std::vector<HostStatusReport> reportsSince(Instant since) const;
     //! Returns true if there is recent evidence that the host's process has stopped.
     [[nodiscard]] bool isStopped(const HostName &host, Instant now) const;
 
 private:
     struct HostRecord
     {
-        HostReport report;
+        HostStatusReport report;
         Instant receivedAt = Instant::min();
         Instant refusedAt = Instant::min();
     };
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -93,7 +93,7 @@
         m_requestId = *id;
 }
 
-bool GatewayRequest::idempotent() const { return m_route->kind == RequestKind::Idempotent; }
+bool GatewayRequest::idempotent() const { return m_route->kind == RouteKind::Idempotent; }
 
 Duration GatewayRequest::remainingTime() const { return m_deadline - monotonicNow(); }
 
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -94,7 +94,7 @@
     }
 
     // Starts the gateway with one route that allows the given number of attempts.
-    void start(RequestKind kind, std::uint32_t attempts, bool withRoutes = true)
+    void start(RouteKind kind, std::uint32_t attempts, bool withRoutes = true)
     {
         m_context.setTargets(list(), Duration(0));
         if (withRoutes)
@@ -124,7 +124,7 @@
         return socket.readToEnd();
     }
 
-    void setRoutes(RequestKind kind)
+    void setRoutes(RouteKind kind)
     {
         boost::asio::post(m_pool.context(0),
                           [this, kind] { m_context.setRoutes(makeRoutes(kind, 2)); });
@@ -168,7 +168,7 @@
         return list;
     }
 
-    static std::shared_ptr<const RouteTable> makeRoutes(RequestKind kind, std::uint32_t attempts)
+    static std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts)
     {
         Route route;
         route.name = "r";
--- a/packages/coordination/test/gateway/gateway_log_test.cpp
+++ b/packages/coordination/test/gateway/gateway_log_test.cpp
@@ -12,7 +12,7 @@
 
 using namespace ggv::test;
 using ggv::LoggedEvent;
-using ggv::RequestKind;
+using ggv::RouteKind;
 
 constexpr std::string_view CallerId = "1";
 
@@ -51,7 +51,7 @@
     const CapturedOutput output;
     GatewayFixture fixture;
     fixture.addTarget(std::move(script));
-    fixture.start(RequestKind::NonIdempotent, 2);
+    fixture.start(RouteKind::NonIdempotent, 2);
     (void)fixture.call(remainingTime, path);
     return causeOf(output.events());
 }
@@ -61,7 +61,7 @@
     const CapturedOutput output;
     GatewayFixture fixture;
     fixture.addClosedTarget();
-    fixture.start(RequestKind::NonIdempotent, 2);
+    fixture.start(RouteKind::NonIdempotent, 2);
     (void)fixture.call();
     return causeOf(output.events());
 }
@@ -87,7 +87,7 @@
             GatewayFixture fixture;
             for (std::size_t n = 0; n < std::min<std::size_t>(numbers.size(), MaxTargets); ++n)
                 fixture.addTarget(scripts()[numbers[n]]);
-            fixture.start(isNonIdempotent ? RequestKind::NonIdempotent : RequestKind::Idempotent,
+            fixture.start(isNonIdempotent ? RouteKind::NonIdempotent : RouteKind::Idempotent,
                           2);
             const auto text = fixture.call(time, path);
             const auto events = output.events();
@@ -107,7 +107,7 @@
         fixture.addTarget([&body](const std::string &) {
             return ScriptedAnswer { answer("200", IdHeader + MarkerHeader, body), false, false };
         });
-        fixture.start(RequestKind::Idempotent, 2);
+        fixture.start(RouteKind::Idempotent, 2);
         CPPUNIT_ASSERT(fixture.call().ends_with(body));
         const auto events = output.events();
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 1 },
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 using namespace ggv::test;
-using ggv::RequestKind;
+using ggv::RouteKind;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -16,30 +16,30 @@
 {
     const char *name;
     ScriptedTarget::Script first;
-    RequestKind kind;
+    RouteKind kind;
     const char *status;
     std::size_t receivedRequests; //!< Expected requests received by targets.
 };
 
 const FailureCase FailureCases[] = {
-    { "server error, idempotent", serverError, RequestKind::Idempotent, "200", 2 },
-    { "server error, non-idempotent", serverError, RequestKind::NonIdempotent, "500", 1 },
-    { "connection lost, idempotent", connectionLost, RequestKind::Idempotent, "200", 2 },
-    { "connection lost, non-idempotent", connectionLost, RequestKind::NonIdempotent, "502", 1 },
-    { "truncated, idempotent", truncated, RequestKind::Idempotent, "200", 2 },
-    { "truncated, non-idempotent", truncated, RequestKind::NonIdempotent, "502", 1 },
-    { "not executed, idempotent", notExecuted, RequestKind::Idempotent, "200", 2 },
-    { "not executed, non-idempotent", notExecuted, RequestKind::NonIdempotent, "200", 2 },
-    { "target replaced, idempotent", replacedTarget, RequestKind::Idempotent, "200", 2 },
-    { "target replaced, non-idempotent", replacedTarget, RequestKind::NonIdempotent, "200", 2 },
-    { "wrong request id, idempotent", wrongRequestId, RequestKind::Idempotent, "200", 2 },
-    { "wrong request id, non-idempotent", wrongRequestId, RequestKind::NonIdempotent, "502", 1 },
-    { "no integrity marker, idempotent", answerWithoutMarker, RequestKind::Idempotent, "200", 2 },
-    { "no integrity marker, non-idempotent", answerWithoutMarker, RequestKind::NonIdempotent, "502",
+    { "server error, idempotent", serverError, RouteKind::Idempotent, "200", 2 },
+    { "server error, non-idempotent", serverError, RouteKind::NonIdempotent, "500", 1 },
+    { "connection lost, idempotent", connectionLost, RouteKind::Idempotent, "200", 2 },
+    { "connection lost, non-idempotent", connectionLost, RouteKind::NonIdempotent, "502", 1 },
+    { "truncated, idempotent", truncated, RouteKind::Idempotent, "200", 2 },
+    { "truncated, non-idempotent", truncated, RouteKind::NonIdempotent, "502", 1 },
+    { "not executed, idempotent", notExecuted, RouteKind::Idempotent, "200", 2 },
+    { "not executed, non-idempotent", notExecuted, RouteKind::NonIdempotent, "200", 2 },
+    { "target replaced, idempotent", replacedTarget, RouteKind::Idempotent, "200", 2 },
+    { "target replaced, non-idempotent", replacedTarget, RouteKind::NonIdempotent, "200", 2 },
+    { "wrong request id, idempotent", wrongRequestId, RouteKind::Idempotent, "200", 2 },
+    { "wrong request id, non-idempotent", wrongRequestId, RouteKind::NonIdempotent, "502", 1 },
+    { "no integrity marker, idempotent", answerWithoutMarker, RouteKind::Idempotent, "200", 2 },
+    { "no integrity marker, non-idempotent", answerWithoutMarker, RouteKind::NonIdempotent, "502",
       1 },
-    { "503 after execution, non-idempotent", unavailableAfterExecution, RequestKind::NonIdempotent,
+    { "503 after execution, non-idempotent", unavailableAfterExecution, RouteKind::NonIdempotent,
       "502", 1 },
-    { "close-delimited, non-idempotent", closeDelimited, RequestKind::NonIdempotent, "200", 1 },
+    { "close-delimited, non-idempotent", closeDelimited, RouteKind::NonIdempotent, "200", 1 },
 };
 
 class GatewayRequestTest : public CppUnit::TestFixture
@@ -77,7 +77,7 @@
         GatewayFixture fixture;
         fixture.addTarget(truncated);
         fixture.addTarget(success);
-        fixture.start(RequestKind::Idempotent, 2);
+        fixture.start(RouteKind::Idempotent, 2);
         const auto text = fixture.call();
         CPPUNIT_ASSERT(text.ends_with("\r\n\r\nwhole"));
         CPPUNIT_ASSERT(text.find("half") == std::string::npos);
@@ -89,7 +89,7 @@
         GatewayFixture fixture;
         fixture.addTarget(notExecuted);
         fixture.addTarget(notExecuted);
-        fixture.start(RequestKind::NonIdempotent, 2);
+        fixture.start(RouteKind::NonIdempotent, 2);
         const auto text = fixture.call();
         CPPUNIT_ASSERT_EQUAL(std::string("503"), text.substr(9, 3));
         CPPUNIT_ASSERT(text.find("Retry-After: 0.") != std::string::npos);
@@ -100,7 +100,7 @@
         GatewayFixture fixture;
         fixture.addClosedTarget();
         fixture.addTarget(success);
-        fixture.start(RequestKind::NonIdempotent, 1);
+        fixture.start(RouteKind::NonIdempotent, 1);
         CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call().substr(9, 3));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fixture.receivedRequests());
     }
@@ -110,7 +110,7 @@
         GatewayFixture fixture;
         for (int n = 0; n < 4; ++n)
             fixture.addTarget(serverError);
-        fixture.start(RequestKind::Idempotent, 3);
+        fixture.start(RouteKind::Idempotent, 3);
         const auto text = fixture.call();
         CPPUNIT_ASSERT_EQUAL(std::string("500"), text.substr(9, 3));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, fixture.receivedRequests());
@@ -120,7 +120,7 @@
     {
         GatewayFixture fixture;
         fixture.addTarget(noAnswer);
-        fixture.start(RequestKind::NonIdempotent, 2);
+        fixture.start(RouteKind::NonIdempotent, 2);
         const auto startedAt = std::chrono::steady_clock::now();
         const auto text = fixture.call("300");
         CPPUNIT_ASSERT_EQUAL(std::string("504"), text.substr(9, 3));
@@ -131,7 +131,7 @@
     {
         GatewayFixture fixture;
         fixture.addTarget(success);
-        fixture.start(RequestKind::NonIdempotent, 2);
+        fixture.start(RouteKind::NonIdempotent, 2);
         (void)fixture.call("700");
         const auto request = fixture.target(0).requests().front();
         const std::string name = "Time-Left: ";
@@ -149,7 +149,7 @@
     {
         GatewayFixture fixture;
         fixture.addTarget(noAnswer);
-        fixture.start(RequestKind::Idempotent, 2);
+        fixture.start(RouteKind::Idempotent, 2);
         auto caller = fixture.send("2900");
         waitUntil([&] { return fixture.receivedRequests() == 1; });
         caller.close();
@@ -161,11 +161,11 @@
     {
         GatewayFixture fixture;
         fixture.addTarget(success);
-        fixture.start(RequestKind::Idempotent, 2);
+        fixture.start(RouteKind::Idempotent, 2);
         CPPUNIT_ASSERT_EQUAL(std::string("404"), fixture.call("500", "/b/1").substr(9, 3));
         GatewayFixture empty;
         empty.addTarget(success);
-        empty.start(RequestKind::Idempotent, 2, false);
+        empty.start(RouteKind::Idempotent, 2, false);
         CPPUNIT_ASSERT_EQUAL(std::string("503"), empty.call().substr(9, 3));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, empty.receivedRequests());
     }
@@ -174,11 +174,11 @@
     {
         GatewayFixture fixture;
         fixture.addTarget(success);
-        fixture.start(RequestKind::Idempotent, 2, false);
+        fixture.start(RouteKind::Idempotent, 2, false);
         auto caller = fixture.send("2900");
         std::this_thread::sleep_for(milliseconds(100));
         CPPUNIT_ASSERT(!caller.hasData());
-        fixture.setRoutes(RequestKind::Idempotent);
+        fixture.setRoutes(RouteKind::Idempotent);
         CPPUNIT_ASSERT_EQUAL(std::string("200"), caller.readToEnd().substr(9, 3));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fixture.receivedRequests());
     }
@@ -188,7 +188,7 @@
         GatewayFixture fixture;
         fixture.addTarget(success);
         fixture.shutDownAfter(milliseconds(1500));
-        fixture.start(RequestKind::NonIdempotent, 2);
+        fixture.start(RouteKind::NonIdempotent, 2);
         const auto rejection = fixture.call("2500");
         CPPUNIT_ASSERT_EQUAL(std::string("503"), rejection.substr(9, 3));
         CPPUNIT_ASSERT(rejection.find("Retry-After: 0.0") != std::string::npos);
--- a/packages/protocol/bench/codec/message_bench.cpp
+++ b/packages/protocol/bench/codec/message_bench.cpp
@@ -43,7 +43,7 @@
 // Encodes the reports of all hosts below a relay as a single message.
 void encodeReports(benchmark::State &state)
 {
-    ggv::HostReports reports;
+    ggv::HostStatusReports reports;
     for (std::int64_t n = 0; n < state.range(0); ++n)
         reports.reports.push_back({ ggv::HostName("central-a-" + std::to_string(n)),
                                     1'780'000'000'000'000, 100'000, 32'000, false });
--- a/packages/protocol/ggv/protocol/codec/peer_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/peer_codec.cpp
@@ -54,17 +54,17 @@
 };
 
 template <>
-struct Fields<HostReport>
+struct Fields<HostStatusReport>
 {
-    static constexpr auto List
-        = std::tuple(&HostReport::host, &HostReport::process, &HostReport::sequence,
-                     &HostReport::version, &HostReport::leaving);
+    static constexpr auto List = std::tuple(&HostStatusReport::host, &HostStatusReport::process,
+                                            &HostStatusReport::sequence, &HostStatusReport::version,
+                                            &HostStatusReport::leaving);
 };
 
 template <>
-struct Fields<HostReports>
+struct Fields<HostStatusReports>
 {
-    static constexpr auto List = std::tuple(&HostReports::reports);
+    static constexpr auto List = std::tuple(&HostStatusReports::reports);
 };
 
 template <>
--- a/packages/protocol/ggv/protocol/message/peer_message.hpp
+++ b/packages/protocol/ggv/protocol/message/peer_message.hpp
@@ -86,7 +86,7 @@
 };
 
 //! Status that a host reports; relays forward it towards the control leader.
-struct HostReport
+struct HostStatusReport
 {
     HostName host;
     ProcessId process = 0;
@@ -94,15 +94,15 @@
     RegisterVersion version = 0; //!< Register version in force.
     bool leaving = false;
 
-    [[nodiscard]] auto operator<=>(const HostReport &) const = default;
+    [[nodiscard]] auto operator<=>(const HostStatusReport &) const = default;
 };
 
 //! Reports of a host and of the hosts below it in the relay tree.
-struct HostReports
+struct HostStatusReports
 {
-    std::vector<HostReport> reports;
+    std::vector<HostStatusReport> reports;
 
-    [[nodiscard]] auto operator<=>(const HostReports &) const = default;
+    [[nodiscard]] auto operator<=>(const HostStatusReports &) const = default;
 };
 
 //! State of a host as seen by the control leader.
@@ -175,7 +175,7 @@
 //! Message between hosts; the order of the alternatives is part of the wire format.
 using PeerMessage
     = std::variant<Hello, HelloProof, GroupMessage, ProposeCall, ProposeAnswer,
-                   ConfigurationRequest, ConfigurationUpdate, HostReports, MembershipView,
+                   ConfigurationRequest, ConfigurationUpdate, HostStatusReports, MembershipView,
                    LeaseCall, LeaseAnswer, ClaimGroupCall, ClaimGroupAnswer>;
 
 } // namespace ggv
--- a/packages/state/ggv/state/routing/route_table.hpp
+++ b/packages/state/ggv/state/routing/route_table.hpp
@@ -3,7 +3,6 @@
 #include <ggv/state/core/ids.hpp>
 #include <ggv/state/core/result.hpp>
 #include <ggv/state/core/time.hpp>
-#include <ggv/state/request/request_event.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -26,13 +25,20 @@
     [[nodiscard]] auto operator<=>(const WeightedService &) const = default;
 };
 
+//! Whether the requests of a route may be executed more than once, and how large they are.
+enum class RouteKind : std::uint8_t {
+    Idempotent,
+    NonIdempotent,
+    Upload, //!< Non-idempotent, with a large body.
+};
+
 //! Maps a host name and path prefix to services, with the policy for these requests.
 struct Route
 {
     std::string name;
     std::string hostName; //!< Value of the Host header, without the port.
     std::string pathPrefix; //!< Begins and ends with a slash.
-    RequestKind kind = RequestKind::NonIdempotent;
+    RouteKind kind = RouteKind::NonIdempotent;
     Duration timeout { 0 }; //!< Maximum time until the complete answer.
     Duration latencyObjective { 0 }; //!< Latency above which an answer counts as late.
     std::uint32_t priority = 0; //!< 0 is the highest priority.
