Suspend a quorum member whose disk is full instead of aborting

A refused write has the new code StorageFull. The member then stops voting and accepting, as if it had crashed at that write, and starts again from its disk once there is room; look-ups, the target list and the feed go on meanwhile. storage-full and storage-regained are logged, ggv_control_storage_full is 1. A failed sync stays fatal. The log is also compacted after 8 MiB of payload, not only after 1,000 entries.

--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -40,6 +40,7 @@
     std::uint32_t maxClockDriftPercent = 5; //!< Maximum clock drift; shortens the leader lease.
     std::uint64_t maxAppendBytes = std::uint64_t { 1024 } * 1024;
     std::uint64_t snapshotAfterEntries = 1000;
+    std::uint64_t snapshotAfterBytes = std::uint64_t { 8 } * 1024 * 1024; //!< Payload of entries.
     std::uint64_t seed = 0; //!< Seed of the election jitter.
 };
 
--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -56,13 +56,15 @@
         ++m_appliedIndex;
     }
     completeMemberChanges();
-    if (m_appliedIndex - m_log.snapshot().index >= m_options.snapshotAfterEntries)
+    if (m_appliedIndex - m_log.snapshot().index >= m_options.snapshotAfterEntries
+        || m_appliedBytes >= m_options.snapshotAfterBytes)
         takeSnapshot();
     stepDownIfRemoved();
 }
 
 void Raft::Implementation::apply(const LogEntry &entry)
 {
+    m_appliedBytes += entry.payload.size();
     if (entry.kind != static_cast<std::uint8_t>(detail::EntryKind::Command))
         return;
     Bytes answer = m_machine.apply(entry.index, entry.payload);
@@ -81,6 +83,7 @@
     snapshot.state = m_machine.encode();
     m_log.compact(std::move(snapshot), m_options.snapshotAfterEntries);
     m_members.compact(m_appliedIndex);
+    m_appliedBytes = 0;
 }
 
 void Raft::Implementation::installSnapshot(const Snapshot &snapshot)
@@ -95,6 +98,7 @@
         m_members = detail::MembershipHistory(snapshot.index, std::move(membership));
     m_commitIndex = snapshot.index;
     m_appliedIndex = snapshot.index;
+    m_appliedBytes = 0;
 }
 
 void Raft::Implementation::startReadRound()
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -454,6 +454,7 @@
         gauges.version = m_stateMachine.state().version;
         gauges.isConfirmedLeader = m_quorum->hasLeaderLease();
         gauges.term = status.term;
+        gauges.isStorageFull = m_quorum->isSuspended();
         gauges.voters = status.voters.size();
         gauges.commitIndex = status.commitIndex;
         gauges.entryHosts = m_directory.alive(HostRole::Entry, now).size();
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
@@ -19,6 +19,8 @@
     add("ggv_control_leads", "1 while a majority confirms this host as leader",
         gauges.isConfirmedLeader ? 1 : 0);
     add("ggv_control_term", "Term of the quorum", static_cast<double>(gauges.term));
+    add("ggv_control_storage_full", "1 while the disk is full and this host does not vote",
+        gauges.isStorageFull ? 1 : 0);
     add("ggv_control_voters", "Voters of the quorum", static_cast<double>(gauges.voters));
     add("ggv_control_commit_index", "Last committed entry",
         static_cast<double>(gauges.commitIndex));
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
@@ -13,6 +13,7 @@
     std::uint64_t version = 0; //!< Version of the applied configuration.
     bool isConfirmedLeader = false; //!< True if a majority confirms this host as leader.
     std::uint64_t term = 0;
+    bool isStorageFull = false; //!< True while the disk is full and this host does not vote.
     std::size_t voters = 0;
     std::uint64_t commitIndex = 0;
     std::size_t entryHosts = 0; //!< Number of live entry hosts.
--- a/packages/coordination/ggv/coordination/quorum/quorum.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -9,30 +9,143 @@
 
 namespace ggv {
 
+namespace {
+
+//! Interval at which a suspended member checks whether the disk has room again.
+constexpr Duration ResumeInterval = std::chrono::milliseconds(500);
+//! Free space that a member needs to resume.
+constexpr std::size_t FreeSpaceProbeBytes = std::size_t { 64 } * 1024;
+
+} // namespace
+
 class Quorum::Implementation : public std::enable_shared_from_this<Quorum::Implementation>
 {
 public:
-    Implementation(boost::asio::io_context &context, QuorumSetup setup, SendHandler onSend)
+    Implementation(boost::asio::io_context &context, Disk &disk, QuorumSetup setup,
+                   StateMachine &machine, SendHandler onSend)
         : m_context(context)
         , m_timer(context)
+        , m_disk(disk)
         , m_setup(std::move(setup))
+        , m_machine(machine)
+        , m_initialState(machine.encode())
         , m_onSend(std::move(onSend))
     { }
 
-    // Calls a function with the Raft member; aborts the process on a storage failure.
+    // Opens the store and starts the member with the state that the disk holds.
+    void open()
+    {
+        m_store = LogStore::open(m_disk, m_setup.filePrefix, m_setup.self).value();
+        m_raft = Raft::create(m_setup.self, m_setup.bootstrapVoters, m_setup.options, *m_store,
+                              m_machine, monotonicNow())
+                     .value();
+    }
+
+    void openOrSuspend()
+    {
+        try {
+            open();
+            scheduleFlush();
+        } catch (const Error &error) {
+            if (error.code() != ResultCode::StorageFull)
+                throw;
+            suspend(error);
+        }
+    }
+
+    // Calls a function with the Raft member unless it is suspended. Suspends it if the disk is
+    // full; aborts the process on another storage failure.
     template <typename Function>
-    auto callOrAbort(Function function)
+    void call(Function function)
     {
+        if (!m_raft)
+            return;
         try {
-            return function(*m_raft);
+            function(*m_raft);
         } catch (const Error &error) {
-            logEvent(LogLevel::Error, "storage-failed",
-                     { { "quorum", m_setup.name }, { "reason", error.what() } });
-            flushEventLog();
-            std::abort();
+            if (error.code() != ResultCode::StorageFull)
+                abortProcess(error);
+            suspend(error);
         }
     }
 
+    [[noreturn]] void abortProcess(const Error &error) const
+    {
+        logEvent(LogLevel::Error, "storage-failed",
+                 { { "quorum", m_setup.name }, { "reason", error.what() } });
+        flushEventLog();
+        std::abort();
+    }
+
+    // Stops voting and accepting, as if the process had crashed at the failed write.
+    void suspend(const Error &error)
+    {
+        logEvent(LogLevel::Error, "storage-full",
+                 { { "quorum", m_setup.name }, { "reason", error.what() } });
+        m_raft.reset();
+        m_store.reset();
+        for (const auto &[ticket, handler] : std::exchange(m_completionHandlers, {}))
+            postCompletion(handler, ResultCode::ChangeOutcomeUnknown);
+        scheduleResume();
+    }
+
+    void scheduleResume()
+    {
+        m_timerDeadline = Instant::min();
+        m_timer.expires_after(ResumeInterval);
+        m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+            const auto self = weak.lock();
+            if (self && !ec)
+                self->tryResume();
+        });
+    }
+
+    void tryResume()
+    {
+        try {
+            verifyFreeSpace();
+            m_machine.restore(m_initialState);
+            open();
+        } catch (const Error &error) {
+            if (error.code() != ResultCode::StorageFull)
+                abortProcess(error);
+            m_raft.reset();
+            m_store.reset();
+            scheduleResume();
+            return;
+        }
+        logEvent(LogLevel::Info, "storage-regained", { { "quorum", m_setup.name } });
+        scheduleFlush();
+    }
+
+    void verifyFreeSpace()
+    {
+        const std::string name = m_setup.filePrefix + "probe";
+        m_disk.replace(name, Bytes(FreeSpaceProbeBytes));
+        m_disk.remove(name);
+    }
+
+    void postCompletion(const CompletionHandler &handler, ResultCode code)
+    {
+        boost::asio::post(m_context, [handler, code] { handler({ 0, code, {} }); });
+    }
+
+    // Starts an operation; one that finds the member suspended certainly has no effect.
+    template <typename Function>
+    void start(Function function, CompletionHandler onDone)
+    {
+        if (!m_raft) {
+            postCompletion(onDone, ResultCode::NotLeader);
+            return;
+        }
+        Ticket ticket = 0;
+        call([&](Raft &raft) { ticket = function(raft); });
+        if (m_raft)
+            registerHandler(ticket, std::move(onDone));
+        else
+            postCompletion(onDone, ResultCode::ChangeOutcomeUnknown);
+    }
+
     // Events of the same event loop iteration share one sync.
     void scheduleFlush()
     {
@@ -47,14 +160,18 @@
     void flush()
     {
         m_flushPending = false;
-        RaftOutput output = callOrAbort([](Raft &raft) { return raft.takeOutput(); });
+        RaftOutput output;
+        call([&output](Raft &raft) { output = raft.takeOutput(); });
+        if (!m_raft)
+            return;
         for (auto &message : output.messages)
             m_onSend(std::move(message));
         for (const auto &completion : output.completions)
             notifyCompletion(completion);
-        if (output.leadershipChanged)
+        if (m_raft && output.leadershipChanged)
             logLeadership();
-        armTimer();
+        if (m_raft)
+            armTimer();
     }
 
     void notifyCompletion(const Completion &completion)
@@ -90,7 +207,7 @@
             if (ec || !self)
                 return;
             self->m_timerDeadline = Instant::min();
-            self->callOrAbort([](Raft &raft) { raft.tick(monotonicNow()); });
+            self->call([](Raft &raft) { raft.tick(monotonicNow()); });
             self->flush();
         });
     }
@@ -103,10 +220,13 @@
 
     boost::asio::io_context &m_context;
     boost::asio::steady_timer m_timer;
+    Disk &m_disk;
     QuorumSetup m_setup;
+    StateMachine &m_machine;
+    Bytes m_initialState; //!< State of the machine before the first command.
     SendHandler m_onSend;
     std::unique_ptr<LogStore> m_store;
-    std::unique_ptr<Raft> m_raft;
+    std::unique_ptr<Raft> m_raft; //!< Null while the disk is full.
     std::unordered_map<Ticket, CompletionHandler> m_completionHandlers;
     Instant m_timerDeadline = Instant::min();
     bool m_flushPending = false;
@@ -123,15 +243,9 @@
                                               SendHandler onSend)
 {
     try {
-        auto implementation
-            = std::make_shared<Implementation>(context, std::move(setup), std::move(onSend));
-        const auto &started = implementation->m_setup;
-        implementation->m_store = LogStore::open(disk, started.filePrefix, started.self).value();
-        implementation->m_raft
-            = Raft::create(started.self, started.bootstrapVoters, started.options,
-                           *implementation->m_store, machine, monotonicNow())
-                  .value();
-        implementation->scheduleFlush();
+        auto implementation = std::make_shared<Implementation>(context, disk, std::move(setup),
+                                                               machine, std::move(onSend));
+        implementation->openOrSuspend();
         return std::unique_ptr<Quorum>(new Quorum(std::move(implementation)));
     } catch (const Error &error) {
         return error;
@@ -140,43 +254,48 @@
 
 void Quorum::receive(const RaftMessage &message)
 {
-    m_implementation->callOrAbort([&](Raft &raft) { raft.receive(message, monotonicNow()); });
+    m_implementation->call([&](Raft &raft) { raft.receive(message, monotonicNow()); });
     m_implementation->scheduleFlush();
 }
 
 void Quorum::propose(Bytes command, CompletionHandler onDone)
 {
-    const Ticket ticket = m_implementation->callOrAbort(
-        [&](Raft &raft) { return raft.propose(std::move(command), monotonicNow()); });
-    m_implementation->registerHandler(ticket, std::move(onDone));
+    m_implementation->start(
+        [&](Raft &raft) { return raft.propose(std::move(command), monotonicNow()); },
+        std::move(onDone));
 }
 
 void Quorum::confirmRead(CompletionHandler onDone)
 {
-    const Ticket ticket = m_implementation->callOrAbort(
-        [](Raft &raft) { return raft.confirmRead(monotonicNow()); });
-    m_implementation->registerHandler(ticket, std::move(onDone));
+    m_implementation->start([](Raft &raft) { return raft.confirmRead(monotonicNow()); },
+                            std::move(onDone));
 }
 
 void Quorum::addMember(MemberId member)
 {
-    const Ticket ticket = m_implementation->callOrAbort(
-        [member](Raft &raft) { return raft.addMember(member, monotonicNow()); });
-    m_implementation->registerHandler(ticket, [](const Completion &) {});
+    m_implementation->start([member](Raft &raft) { return raft.addMember(member, monotonicNow()); },
+                            [](const Completion &) {});
 }
 
 void Quorum::removeMember(MemberId member)
 {
-    const Ticket ticket = m_implementation->callOrAbort(
-        [member](Raft &raft) { return raft.removeMember(member, monotonicNow()); });
-    m_implementation->registerHandler(ticket, [](const Completion &) {});
+    m_implementation->start(
+        [member](Raft &raft) { return raft.removeMember(member, monotonicNow()); },
+        [](const Completion &) {});
 }
 
 bool Quorum::hasLeaderLease() const
 {
-    return m_implementation->m_raft->hasLeaderLease(monotonicNow());
+    const auto &raft = m_implementation->m_raft;
+    return raft && raft->hasLeaderLease(monotonicNow());
 }
 
-RaftStatus Quorum::status() const { return m_implementation->m_raft->status(); }
+bool Quorum::isSuspended() const { return !m_implementation->m_raft; }
+
+RaftStatus Quorum::status() const
+{
+    const auto &raft = m_implementation->m_raft;
+    return raft ? raft->status() : RaftStatus {};
+}
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/quorum/quorum.hpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.hpp
@@ -25,7 +25,8 @@
  * @brief Runs a Raft member on an event loop: drives its timers, delivers its messages and batches
  * its syncs.
  *
- * A storage failure aborts the process.
+ * A storage failure aborts the process. A full disk suspends the member: it neither votes nor
+ * accepts commands, and restarts from the state on the disk once there is room.
  */
 class Quorum
 {
@@ -63,7 +64,10 @@
     void removeMember(MemberId member);
     //! Returns true while no other member can be leader.
     [[nodiscard]] bool hasLeaderLease() const;
+    //! Returns the member's status; a suspended member is a follower without a leader.
     [[nodiscard]] RaftStatus status() const;
+    //! Returns true while the disk is full.
+    [[nodiscard]] bool isSuspended() const;
 
 private:
     class Implementation;
--- a/packages/state/ggv/state/core/result_code.cpp
+++ b/packages/state/ggv/state/core/result_code.cpp
@@ -97,6 +97,8 @@
         return "storage-io";
     case ResultCode::StorageCorrupt:
         return "storage-corrupt";
+    case ResultCode::StorageFull:
+        return "storage-full";
     case ResultCode::StorageIdentityMismatch:
         return "storage-identity-mismatch";
     case ResultCode::Internal:
--- a/packages/state/ggv/state/core/result_code.hpp
+++ b/packages/state/ggv/state/core/result_code.hpp
@@ -73,6 +73,7 @@
     StorageIo = 401,
     StorageCorrupt = 402,
     StorageIdentityMismatch = 403,
+    StorageFull = 404,
 
     Internal = 500,
 };
--- a/packages/state/ggv/state/storage/disk.hpp
+++ b/packages/state/ggv/state/storage/disk.hpp
@@ -20,7 +20,8 @@
  * @brief Access to the files of the data folder.
  *
  * An interface, so that tests can use a fake that loses unsynced writes, tears records and fails.
- * Names are file names without a path. All functions throw Error StorageIo on failure.
+ * Names are file names without a path. All functions throw Error StorageIo on failure, or
+ * StorageFull if there is no room for a write; the file then ends with a part of the bytes.
  */
 class Disk
 {
--- a/packages/state/ggv/state/storage/log_store.hpp
+++ b/packages/state/ggv/state/storage/log_store.hpp
@@ -56,8 +56,9 @@
  *
  * Records have lengths and checksums. A torn record at the end of the log is truncated; damage to
  * durable records is reported as StorageCorrupt. The store contains the identity of its member and
- * cannot be opened by another one. All functions throw Error StorageIo if the disk fails; all later
- * write operations then fail too.
+ * cannot be opened by another one. All functions throw Error StorageIo if the disk fails, or
+ * StorageFull if it has no room; all later write operations then fail too. After StorageFull the
+ * store can be opened again, as after a crash.
  */
 class LogStore
 {
--- a/packages/state/ggv/state/storage/posix_disk.cpp
+++ b/packages/state/ggv/state/storage/posix_disk.cpp
@@ -31,6 +31,15 @@
     throw Error(ResultCode::StorageIo, action + " " + name + ": " + reason);
 }
 
+// Writes that find no room leave the files as they were, apart from a partly written end.
+[[noreturn]] void throwWriteFailed(const std::string &name)
+{
+    if (errno != ENOSPC && errno != EDQUOT)
+        throwIo("write", name);
+    const std::string reason = std::generic_category().message(errno);
+    throw Error(ResultCode::StorageFull, "write " + name + ": " + reason);
+}
+
 // Owning file descriptor.
 class FileDescriptor
 {
@@ -110,8 +119,8 @@
     }
 
 private:
-    // Runs an operation. After a failure the content of the page cache is unknown, so all later
-    // calls fail too.
+    // Runs an operation. After a failure other than a full disk the content of the page cache is
+    // unknown, so all later calls fail too.
     template <typename Action>
     auto guarded(Action action) -> decltype(action())
     {
@@ -120,6 +129,9 @@
                         "data folder is unusable after an earlier I/O failure: " + m_folderName);
         try {
             return action();
+        } catch (const Error &error) {
+            m_failed = error.code() != ResultCode::StorageFull;
+            throw;
         } catch (...) {
             m_failed = true;
             throw;
@@ -171,7 +183,7 @@
         FileDescriptor descriptor(
             ::openat(m_folder.number(), name.c_str(), flags | O_CLOEXEC, FileMode));
         if (!descriptor.valid() && errno != ENOENT)
-            throwIo("open", name);
+            throwWriteFailed(name);
         return descriptor;
     }
 
@@ -190,7 +202,7 @@
             if (n < 0 && errno == EINTR)
                 continue;
             if (n <= 0)
-                throwIo("write", name);
+                throwWriteFailed(name);
             bytes = bytes.subspan(static_cast<std::size_t>(n));
         }
     }
--- a/packages/state/test/storage/fake_disk.hpp
+++ b/packages/state/test/storage/fake_disk.hpp
@@ -36,7 +36,10 @@
     {
         countWrite();
         Bytes &written = m_files[std::string(name)].written;
-        written.insert(written.end(), bytes.begin(), bytes.end());
+        const auto fitting
+            = static_cast<std::ptrdiff_t>(m_isFull ? bytes.size() / 2 : bytes.size());
+        written.insert(written.end(), bytes.begin(), bytes.begin() + fitting);
+        requireSpace();
     }
 
     void truncate(std::string_view name, std::uint64_t size) override
@@ -56,6 +59,7 @@
     void replace(std::string_view name, ByteView bytes) override
     {
         countWrite();
+        requireSpace();
         const Bytes content(bytes.begin(), bytes.end());
         m_files[std::string(name)] = { content, content };
     }
@@ -87,6 +91,8 @@
 
     //! Makes all writes fail after the given number of further writes.
     void limit(std::uint64_t writes) { m_writesLeft = writes; }
+    //! Makes appends write only a part and replacements nothing, for lack of space.
+    void setFull(bool isFull) { m_isFull = isFull; }
     //! Flips one bit of a file, durably.
     void flipBit(const std::string &name, std::size_t byte, unsigned bit)
     {
@@ -116,6 +122,12 @@
             --*m_writesLeft;
     }
 
+    void requireSpace() const
+    {
+        if (m_isFull)
+            throw Error(ResultCode::StorageFull, "no space left on the simulated disk");
+    }
+
     // After a truncation, either the old or the new size survives. After an append, a prefix of the
     // new bytes survives, whose last bytes may be corrupted.
     static void retainUnsyncedPart(File &file, std::mt19937_64 &random)
@@ -137,6 +149,7 @@
 
     std::map<std::string, File> m_files;
     std::optional<std::uint64_t> m_writesLeft;
+    bool m_isFull = false;
     std::uint64_t m_syncs = 0;
 };
 
