Serve uploads and respect what targets say of themselves

New in answers: Server-Leaving excludes a target at once, over gaps of the list, and is told to other hosts; the Retry-After of a 503 excludes it for that time (at most 10 min), also in panic mode; if all targets of a service are in that state, requests are rejected at once with the earliest end. Both are checked again after a connection is established. Found while reading: a late rejection or 421 with the id of another request was taken for the answer of this one, so that a running non-idempotent request could be sent again. The id is compared first now.

--- a/packages/coordination/ggv/coordination/gateway/forwarding_headers.hpp
+++ b/packages/coordination/ggv/coordination/gateway/forwarding_headers.hpp
@@ -14,6 +14,7 @@
     std::string integrityMarker; //!< Signature by the target; required on successful responses.
     std::string notExecuted; //!< On a response: the target did not execute the request.
     std::string targetLoad; //!< "running,waiting,slots" of a target.
+    std::string targetLeaving; //!< On a response, with value "1": the target is leaving.
 };
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -59,7 +59,8 @@
     Implementation(IoPool &pool, GatewaySetup setup)
         : m_pool(pool)
         , m_setup(std::move(setup))
-        , m_context(pool.context(0), m_setup.topology, m_setup.headers, m_setup.retryPolicy)
+        , m_context(pool.context(0), m_setup.topology, m_setup.headers, m_setup.retryPolicy,
+                    m_setup.bodyMemory)
     { }
 
     static void logTargetChange(const TargetStatusChange &change)
--- a/packages/coordination/ggv/coordination/gateway/gateway.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.hpp
@@ -21,6 +21,7 @@
     ForwardingHeaders headers;
     RetryPolicy retryPolicy;
     Duration shutdownGrace = std::chrono::seconds(6); //!< From signal to forced kill.
+    std::uint64_t bodyMemory = 64ULL * 1024 * 1024; //!< Bytes for bodies of concurrent requests.
     //! Parses the operators' configuration document. @throws Error if it is invalid.
     std::function<RouteTable(ByteView)> decodeConfiguration;
 };
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -20,11 +20,13 @@
 } // namespace
 
 GatewayContext::GatewayContext(boost::asio::io_context &loop, Topology topology,
-                               ForwardingHeaders headers, const RetryPolicy &retryPolicy)
+                               ForwardingHeaders headers, const RetryPolicy &retryPolicy,
+                               std::uint64_t bodyMemory)
     : m_headers(std::move(headers))
     , m_retryPolicy(retryPolicy)
     , m_targets(std::move(topology))
     , m_connections(loop, MaxIdlePerTarget, TargetIdleTimeout)
+    , m_bodyMemory(bodyMemory)
     , m_random(randomNumber())
     , m_loop(loop)
 { }
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -3,6 +3,7 @@
 #include <ggv/coordination/gateway/forwarding_headers.hpp>
 #include <ggv/coordination/gateway/gateway_metrics.hpp>
 #include <ggv/coordination/gateway/log_rate_limiter.hpp>
+#include <ggv/state/admission/memory_budget.hpp>
 #include <ggv/state/admission/retry_budget.hpp>
 #include <ggv/state/core/random_source.hpp>
 #include <ggv/state/routing/route_table.hpp>
@@ -37,8 +38,15 @@
 class GatewayContext
 {
 public:
+    /**
+     * @param loop Event loop of all requests.
+     * @param topology Location of this host.
+     * @param headers Names of the HTTP headers.
+     * @param retryPolicy Limit on retries of all entry hosts.
+     * @param bodyMemory Memory for the bodies of concurrent requests, in bytes.
+     */
     GatewayContext(boost::asio::io_context &loop, Topology topology, ForwardingHeaders headers,
-                   const RetryPolicy &retryPolicy);
+                   const RetryPolicy &retryPolicy, std::uint64_t bodyMemory);
 
     //! @return The route table in force; null before the first one is received.
     [[nodiscard]] const std::shared_ptr<const RouteTable> &routes() const noexcept
@@ -64,6 +72,7 @@
 
     [[nodiscard]] TargetPool &targets() noexcept { return m_targets; }
     [[nodiscard]] HttpClientPool &connections() noexcept { return m_connections; }
+    [[nodiscard]] const MemoryBudget &bodyMemory() const noexcept { return m_bodyMemory; }
     [[nodiscard]] RandomSource &random() noexcept { return m_random; }
     [[nodiscard]] const ForwardingHeaders &headers() const noexcept { return m_headers; }
     [[nodiscard]] GatewayMetrics &metrics() noexcept { return m_metrics; }
@@ -84,6 +93,7 @@
     RetryPolicy m_retryPolicy;
     TargetPool m_targets;
     HttpClientPool m_connections;
+    MemoryBudget m_bodyMemory;
     RandomSource m_random;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<ServiceName, RetryBudget> m_budgets;
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -22,6 +22,8 @@
 //! one can be replaced by a retry.
 constexpr std::size_t MaxBufferedAnswerBytes = 64UL * 1024;
 constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(5);
+//! Retry delay for callers of a host that has no configuration yet.
+constexpr Duration RetryAfterWithoutRoutes = std::chrono::milliseconds(400);
 //! A request waits for the first route table for at most its time-out divided by this value, and
 //! never longer than MaxRoutesWait.
 constexpr int RoutesWaitDivisor = 3;
@@ -35,11 +37,13 @@
 constexpr std::uint16_t StatusBadGateway = 502;
 constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::uint16_t StatusGatewayTimeout = 504;
-constexpr double RetryAfterJitter = 1.0;
+constexpr const char *LeavingValue = "1";
 // Values of the log field "reason".
 constexpr const char *NoConfiguration = "no-configuration";
 constexpr const char *HostLeaving = "host-leaving";
 constexpr const char *TargetsFull = "targets-full";
+constexpr const char *TargetsBackingOff = "targets-backing-off";
+constexpr const char *BodyMemoryFull = "body-memory-full";
 constexpr const char *NoTimeLeft = "no-time-left";
 constexpr const char *NoTargetListed = "no-target-listed";
 constexpr const char *TargetsUnreachable = "targets-unreachable";
@@ -88,6 +92,7 @@
     , m_caller(caller)
     , m_startedAt(monotonicNow())
     , m_routes(context.routes())
+    , m_bodyMemory(context.bodyMemory().reservation())
 {
     if (const auto *id = findHeader(caller.head().headers, context.headers().requestId))
         m_requestId = *id;
@@ -163,17 +168,31 @@
     return true;
 }
 
+// Buffers the body. Returns false if the memory for bodies is exhausted.
+asio::awaitable<bool> GatewayRequest::bufferBody()
+{
+    const std::uint64_t limit = m_routes->rules().limits.maxBodyBytes;
+    const std::uint64_t announced = m_caller.head().contentLength.value_or(0);
+    if (announced > limit)
+        throw Error(ResultCode::BodyTooLarge, "the body exceeds the configured size");
+    if (!m_bodyMemory.tryGrowTo(announced))
+        co_return false;
+    m_caller.setBodyLimit(limit);
+    m_body.reserve(static_cast<std::size_t>(announced));
+    std::array<std::uint8_t, ChunkBytes> chunk;
+    while (const std::size_t n = co_await m_caller.readBody(chunk)) {
+        if (!m_bodyMemory.tryGrowTo(m_body.size() + n))
+            co_return false;
+        m_body.insert(m_body.end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> GatewayRequest::receiveBody()
 {
-    const auto &head = m_caller.head();
-    if (head.hasBody()) {
-        m_caller.setBodyLimit(m_routes->rules().limits.maxBodyBytes);
-        m_body.reserve(static_cast<std::size_t>(
-            std::min<std::uint64_t>(head.contentLength.value_or(0), MaxBufferedAnswerBytes)));
-        std::array<std::uint8_t, ChunkBytes> chunk;
-        while (const std::size_t n = co_await m_caller.readBody(chunk))
-            m_body.insert(m_body.end(), chunk.begin(),
-                          chunk.begin() + static_cast<std::ptrdiff_t>(n));
+    if (m_caller.head().hasBody() && !co_await bufferBody()) {
+        co_await reject(StatusUnavailable, BodyMemoryFull);
+        co_return false;
     }
     m_caller.notifyOnDisconnect([weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -257,6 +276,11 @@
     if (failure) {
         co_return onConnectFailed(*failure);
     }
+    // The target may have said that it is leaving or busy while the connection was established.
+    if (!m_context.targets().mayReceive(*m_choice.target, monotonicNow())) {
+        finishAttempt(std::nullopt, false);
+        co_return AttemptResult::NotConnected;
+    }
     co_return co_await exchange();
 }
 
@@ -337,28 +361,54 @@
     return AttemptResult::Lost;
 }
 
-void GatewayRequest::recordReportedLoad(const HttpAnswerHead &head)
+// Applies what a response of the chosen instance says about the instance itself.
+void GatewayRequest::recordTargetState(const HttpAnswerHead &head)
+{
+    const auto &names = m_context.headers();
+    const Instant now = monotonicNow();
+    if (const auto *text = findHeader(head.headers, names.targetLoad)) {
+        if (const auto load = parseLoad(*text))
+            m_context.targets().observeLoad(*m_choice.target, *load, now);
+    }
+    const auto *leaving = findHeader(head.headers, names.targetLeaving);
+    if (leaving != nullptr && *leaving == LeavingValue)
+        m_context.targets().observeLeaving(*m_choice.target, now);
+    if (head.status == StatusUnavailable)
+        recordRetryAfter(head);
+}
+
+void GatewayRequest::recordRetryAfter(const HttpAnswerHead &head)
 {
-    const auto *text = findHeader(head.headers, m_context.headers().targetLoad);
+    const auto *text = findHeader(head.headers, "Retry-After");
     if (text == nullptr)
         return;
-    if (const auto load = parseLoad(*text))
-        m_context.targets().observeLoad(*m_choice.target, *load, monotonicNow());
+    if (const auto retryAfter = parseSeconds(*text)) {
+        m_context.targets().observeRetryAfter(*m_choice.target, *retryAfter, monotonicNow());
+        return;
+    }
+    logEvent(LogLevel::Warning, "retry-after-unreadable",
+             { { "request", m_requestId },
+               { "target", m_choice.target->listing().instance },
+               { "value", *text } });
 }
 
 // Checks that a response belongs to this request, and classifies it.
 GatewayRequest::AttemptResult GatewayRequest::classifyAnswer(const HttpAnswerHead &head)
 {
     const auto &names = m_context.headers();
+    const auto *id = findHeader(head.headers, names.requestId);
+    const bool isForeign = !m_requestId.empty() && id != nullptr && *id != m_requestId;
+    if (isForeign)
+        throw Error(ResultCode::ProtocolViolation, "response carries the id of another request");
     if (head.status == StatusMisdirected) {
-        m_context.targets().observeReplaced(*m_choice.target);
+        m_context.targets().observeReplaced(*m_choice.target, monotonicNow());
         return AttemptResult::NotExecuted;
     }
+    recordTargetState(head);
     if (findHeader(head.headers, names.notExecuted) != nullptr)
         return AttemptResult::NotExecuted;
-    const auto *id = findHeader(head.headers, names.requestId);
-    if (!m_requestId.empty() && (id == nullptr || *id != m_requestId))
-        throw Error(ResultCode::ProtocolViolation, "response carries the id of another request");
+    if (!m_requestId.empty() && id == nullptr)
+        throw Error(ResultCode::ProtocolViolation, "response carries no request id");
     const bool success = head.status >= 200 && head.status < 300;
     if (success && findHeader(head.headers, names.integrityMarker) == nullptr)
         throw Error(ResultCode::ProtocolViolation,
@@ -369,7 +419,6 @@
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::readAnswer()
 {
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
-    recordReportedLoad(head);
     const auto end = classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
         std::array<std::uint8_t, ChunkBytes> chunk;
@@ -478,17 +527,34 @@
         return TargetsUnreachable;
     if (remainingTime() < MinTargetTime)
         return NoTimeLeft;
-    return m_choice.reason == NoTargetReason::AllFull ? TargetsFull : NoTargetListed;
+    switch (m_choice.reason) {
+    case NoTargetReason::AllFull:
+        return TargetsFull;
+    case NoTargetReason::AllBackingOff:
+        return TargetsBackingOff;
+    case NoTargetReason::NoneListed:
+        break;
+    }
+    return NoTargetListed;
+}
+
+RetryDelay GatewayRequest::retryDelay(const char *reason) const
+{
+    // A host that shuts down asks for an early retry: another entry host can serve the request.
+    if (reason == HostLeaving)
+        return { ShutdownRetryAfter, ShutdownRetryAfter };
+    if (m_route == nullptr)
+        return { RetryAfterWithoutRoutes, RetryAfterWithoutRoutes };
+    return m_context.targets().retryDelay(m_query, monotonicNow());
 }
 
 asio::awaitable<void> GatewayRequest::reject(std::uint16_t status, const char *reason)
 {
     logCompletion(LogLevel::Warning, "request-refused", status, reason);
-    // A host that shuts down asks for an early retry: another entry host can serve the request.
-    const Duration base = reason == HostLeaving ? ShutdownRetryAfter
-                                                : m_context.targets().retryAfter(m_query.service);
-    const double factor = 1.0 + RetryAfterJitter * uniformFraction(m_context.random());
-    const Duration wait(static_cast<Duration::rep>(static_cast<double>(base.count()) * factor));
+    const RetryDelay delay = retryDelay(reason);
+    const double jitter
+        = uniformFraction(m_context.random()) * static_cast<double>(delay.spread.count());
+    const Duration wait = delay.earliest + Duration(static_cast<Duration::rep>(jitter));
     HttpAnswer answer = textAnswer(status, "the request has not run\n");
     answer.headers.push_back(HttpHeader { "Retry-After", formatSeconds(wait) });
     co_await m_caller.answer(std::move(answer));
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -2,6 +2,7 @@
 
 #include <ggv/coordination/gateway/gateway_context.hpp>
 #include <ggv/state/log/event_log.hpp>
+#include <ggv/state/storage/disk.hpp>
 #include <ggv/transport/http/http_server.hpp>
 
 #include <memory>
@@ -45,6 +46,7 @@
     [[nodiscard]] bool selectRoute();
     [[nodiscard]] Duration remainingTime() const;
     [[nodiscard]] boost::asio::awaitable<bool> receiveBody();
+    [[nodiscard]] boost::asio::awaitable<bool> bufferBody();
     [[nodiscard]] boost::asio::awaitable<void> forward();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> attempt();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> exchange();
@@ -55,12 +57,14 @@
     [[nodiscard]] boost::asio::awaitable<void> completeRequest(AttemptResult end);
     [[nodiscard]] boost::asio::awaitable<void> reject(std::uint16_t status, const char *reason);
     [[nodiscard]] const char *rejectionReason() const;
+    [[nodiscard]] RetryDelay retryDelay(const char *reason) const;
     [[nodiscard]] HttpRequestHead forwardedHead() const;
     [[nodiscard]] AttemptResult classifyAnswer(const HttpAnswerHead &head);
     [[nodiscard]] AttemptResult onAttemptFailed(const Error &error);
     [[nodiscard]] AttemptResult onConnectFailed(const Error &error);
     void logRetry(AttemptResult end) const;
-    void recordReportedLoad(const HttpAnswerHead &head);
+    void recordTargetState(const HttpAnswerHead &head);
+    void recordRetryAfter(const HttpAnswerHead &head);
     void finishAttempt(std::optional<TargetOutcome> outcome, bool reusable);
     void onCallerDisconnected();
     [[nodiscard]] boost::asio::awaitable<void> serve();
@@ -79,6 +83,7 @@
     const Route *m_route = nullptr;
     std::string m_requestId;
     TargetQuery m_query;
+    MemoryReservation m_bodyMemory;
     Bytes m_body;
     TargetChoice m_choice;
     std::unique_ptr<ClientExchange> m_exchange;
--- a/packages/coordination/ggv/coordination/gateway/header_values.cpp
+++ b/packages/coordination/ggv/coordination/gateway/header_values.cpp
@@ -3,10 +3,18 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace ggv {
 
+namespace {
+
+//! Upper bound of a parsed number of seconds: one day.
+constexpr double MaxParsedSeconds = 86400.0;
+
+} // namespace
+
 std::optional<std::int64_t> parseInteger(std::string_view text)
 {
     std::int64_t number = 0;
@@ -48,6 +56,17 @@
     return ReportedLoad { numbers[0], numbers[1], numbers[2] };
 }
 
+std::optional<Duration> parseSeconds(std::string_view text)
+{
+    double seconds = 0.0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool isNumber = ec == std::errc() && end == text.data() + text.size();
+    if (!isNumber || !std::isfinite(seconds) || seconds < 0.0)
+        return std::nullopt;
+    const double bounded = std::min(seconds, MaxParsedSeconds);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+}
+
 std::string formatSeconds(Duration duration)
 {
     std::array<char, 32> text {};
--- a/packages/coordination/ggv/coordination/gateway/header_values.hpp
+++ b/packages/coordination/ggv/coordination/gateway/header_values.hpp
@@ -25,6 +25,10 @@
 //! @return Load parsed from "running,waiting,slots"; std::nullopt if @p text has another format.
 [[nodiscard]] std::optional<ReportedLoad> parseLoad(std::string_view text);
 
+//! @return Duration parsed from a number of seconds, at most one day; std::nullopt if @p text is
+//! not a finite number that is at least 0.
+[[nodiscard]] std::optional<Duration> parseSeconds(std::string_view text);
+
 //! @return The duration in seconds with three decimals.
 [[nodiscard]] std::string formatSeconds(Duration duration);
 
--- a/packages/coordination/test/gateway/gateway_context_test.cpp
+++ b/packages/coordination/test/gateway/gateway_context_test.cpp
@@ -112,7 +112,7 @@
     }
 
     boost::asio::io_context m_loop;
-    GatewayContext m_context { m_loop, {}, {}, { 0.2, std::chrono::seconds(10), 100.0 } };
+    GatewayContext m_context { m_loop, {}, {}, { 0.2, std::chrono::seconds(10), 100.0 }, 1024 };
     int m_resumed = 0;
     bool m_setRoutesOnFirstResume = false;
 };
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -20,7 +20,7 @@
 
 inline ForwardingHeaders sampleHeaders()
 {
-    return { "Id", "Time-Left", "Object", "Instance", "Seal", "Not-Run", "Load" };
+    return { "Id", "Time-Left", "Object", "Instance", "Seal", "Not-Run", "Load", "Leaving" };
 }
 
 inline std::string answer(const std::string &status, const std::string &headers,
@@ -61,6 +61,26 @@
 {
     return { answer("421", "Instance: x\r\n", ""), false, false };
 }
+inline ScriptedAnswer notExecutedOfAnotherRequest(const std::string &)
+{
+    return { answer("503", "Id: 2\r\nNot-Run: 1\r\n", "full"), false, false };
+}
+inline ScriptedAnswer misdirectedOfAnotherRequest(const std::string &)
+{
+    return { answer("421", "Id: 2\r\nInstance: x\r\n", ""), false, false };
+}
+inline ScriptedAnswer leavingSuccess(const std::string &)
+{
+    return { answer("200", IdHeader + MarkerHeader + "Leaving: 1\r\n", "whole"), false, false };
+}
+inline ScriptedAnswer rejectedFor5Seconds(const std::string &)
+{
+    return { answer("503", IdHeader + "Not-Run: 1\r\nRetry-After: 5\r\n", ""), false, false };
+}
+inline ScriptedAnswer rejectedWithInvalidTime(const std::string &)
+{
+    return { answer("503", IdHeader + "Not-Run: 1\r\nRetry-After: -5\r\n", ""), false, false };
+}
 inline ScriptedAnswer unavailableAfterExecution(const std::string &)
 {
     return { answer("503", IdHeader + MarkerHeader, "ran"), false, false };
@@ -76,9 +96,11 @@
 public:
     GatewayFixture()
         : m_context(m_pool.context(0), topology(), sampleHeaders(),
-                    { 1.0, std::chrono::seconds(1), 1000.0 })
+                    { 1.0, std::chrono::seconds(1), 1000.0 }, BodyMemory)
     { }
 
+    static constexpr std::uint64_t BodyMemory = 64;
+
     ~GatewayFixture() { m_pool.stop(); }
 
     void addTarget(ScriptedTarget::Script script)
@@ -109,12 +131,14 @@
         m_pool.start();
     }
 
-    RawSocket send(const std::string &remainingTime = "2000", const std::string &path = "/a/1")
+    RawSocket send(const std::string &remainingTime = "2000", const std::string &path = "/a/1",
+                   const std::string &body = "body")
     {
         auto socket = RawSocket::connect(m_callers, m_server->port());
         socket.send("POST " + path
                     + " HTTP/1.1\r\nHost: h\r\nId: 1\r\nCookie: Object=7\r\nTime-Left: "
-                    + remainingTime + "\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+                    + remainingTime + "\r\nContent-Length: " + std::to_string(body.size())
+                    + "\r\nConnection: close\r\n\r\n" + body);
         return socket;
     }
 
--- a/packages/coordination/test/gateway/gateway_log_test.cpp
+++ b/packages/coordination/test/gateway/gateway_log_test.cpp
@@ -87,8 +87,7 @@
             GatewayFixture fixture;
             for (std::size_t n = 0; n < std::min<std::size_t>(numbers.size(), MaxTargets); ++n)
                 fixture.addTarget(scripts()[numbers[n]]);
-            fixture.start(isNonIdempotent ? RouteKind::NonIdempotent : RouteKind::Idempotent,
-                          2);
+            fixture.start(isNonIdempotent ? RouteKind::NonIdempotent : RouteKind::Idempotent, 2);
             const auto text = fixture.call(time, path);
             const auto events = output.events();
             RC_ASSERT(std::count_if(events.begin(), events.end(), isCompletion) == 1);
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -39,6 +39,15 @@
       1 },
     { "503 after execution, non-idempotent", unavailableAfterExecution, RouteKind::NonIdempotent,
       "502", 1 },
+    { "late rejection of another request, idempotent", notExecutedOfAnotherRequest,
+      RouteKind::Idempotent, "200", 2 },
+    { "late rejection of another request, non-idempotent", notExecutedOfAnotherRequest,
+      RouteKind::NonIdempotent, "502", 1 },
+    { "late 421 of another request, non-idempotent", misdirectedOfAnotherRequest,
+      RouteKind::NonIdempotent, "502", 1 },
+    { "server error, upload", serverError, RouteKind::Upload, "500", 1 },
+    { "connection lost, upload", connectionLost, RouteKind::Upload, "502", 1 },
+    { "not executed, upload", notExecuted, RouteKind::Upload, "200", 2 },
     { "close-delimited, non-idempotent", closeDelimited, RouteKind::NonIdempotent, "200", 1 },
 };
 
@@ -56,6 +65,10 @@
     CPPUNIT_TEST(unknownPathsAndMissingRoutesAreRejected);
     CPPUNIT_TEST(requestWaitsForFirstRoutes);
     CPPUNIT_TEST(shutdownRejectsRequestsWithLaterDeadline);
+    CPPUNIT_TEST(leavingTargetGetsNoFurtherRequest);
+    CPPUNIT_TEST(rejectingTargetGetsNoRequestForTheStatedTime);
+    CPPUNIT_TEST(invalidRetryAfterIsIgnored);
+    CPPUNIT_TEST(bodiesBeyondTheMemoryAreRejectedUnread);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -196,6 +209,65 @@
         CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call("500").substr(9, 3));
     }
 
+    void leavingTargetGetsNoFurtherRequest()
+    {
+        GatewayFixture fixture;
+        fixture.addTarget(leavingSuccess);
+        fixture.addTarget(success);
+        fixture.start(RouteKind::NonIdempotent, 2);
+        for (int n = 0; n < 3; ++n)
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call().substr(9, 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fixture.target(0).requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, fixture.target(1).requests().size());
+    }
+
+    // All targets shed load: further requests are rejected at once, until the first period ends.
+    void rejectingTargetGetsNoRequestForTheStatedTime()
+    {
+        GatewayFixture fixture;
+        fixture.addTarget(rejectedFor5Seconds);
+        fixture.addTarget(rejectedFor5Seconds);
+        fixture.start(RouteKind::NonIdempotent, 2);
+        for (int n = 0; n < 3; ++n) {
+            const auto text = fixture.call();
+            CPPUNIT_ASSERT_EQUAL(std::string("503"), text.substr(9, 3));
+            const std::string name = "Retry-After: ";
+            const auto at = text.find(name);
+            CPPUNIT_ASSERT(at != std::string::npos);
+            const double wait = std::stod(text.substr(at + name.size()));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(wait), wait > 4.0 && wait < 6.0);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, fixture.receivedRequests());
+    }
+
+    void invalidRetryAfterIsIgnored()
+    {
+        GatewayFixture fixture;
+        fixture.addTarget(rejectedWithInvalidTime);
+        fixture.start(RouteKind::NonIdempotent, 2);
+        for (int n = 0; n < 2; ++n)
+            CPPUNIT_ASSERT_EQUAL(std::string("503"), fixture.call().substr(9, 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, fixture.receivedRequests());
+    }
+
+    void bodiesBeyondTheMemoryAreRejectedUnread()
+    {
+        GatewayFixture fixture;
+        fixture.addTarget(success);
+        fixture.start(RouteKind::Upload, 2);
+        auto large = fixture.send("2000", "/a/1", std::string(GatewayFixture::BodyMemory + 1, 'x'));
+        const auto rejection = large.readToEnd();
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), rejection.substr(9, 3));
+        CPPUNIT_ASSERT(rejection.find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fixture.receivedRequests());
+        // The memory of an ended request is available again.
+        for (int n = 0; n < 3; ++n) {
+            auto fitting
+                = fixture.send("2000", "/a/1", std::string(GatewayFixture::BodyMemory, 'x'));
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), fitting.readToEnd().substr(9, 3));
+        }
+    }
+
 private:
     template <typename Condition>
     static void waitUntil(Condition condition)
--- a/packages/coordination/test/gateway/header_values_test.cpp
+++ b/packages/coordination/test/gateway/header_values_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(cookiesAreFoundByFullName);
     CPPUNIT_TEST(parsesLoadOfThreeNumbers);
     CPPUNIT_TEST(secondsHaveThreeDecimals);
+    CPPUNIT_TEST(parsesOnlyFiniteSeconds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,6 +48,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("0.405"),
                              ggv::formatSeconds(std::chrono::milliseconds(405)));
     }
+
+    void parsesOnlyFiniteSeconds()
+    {
+        using std::chrono::hours;
+        using std::chrono::milliseconds;
+        CPPUNIT_ASSERT(ggv::parseSeconds("2") == milliseconds(2000));
+        CPPUNIT_ASSERT(ggv::parseSeconds("0.25") == milliseconds(250));
+        CPPUNIT_ASSERT(ggv::parseSeconds("0") == milliseconds(0));
+        CPPUNIT_ASSERT(ggv::parseSeconds("1e9") == hours(24));
+        for (const char *it : { "", "-1", "nan", "inf", "1e999", "soon", "2 s", " 2",
+                                "Fri, 04 Dec 2026 10:00:00 GMT" })
+            CPPUNIT_ASSERT_MESSAGE(it, !ggv::parseSeconds(it));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HeaderValuesTest);
--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -67,7 +67,7 @@
 struct Fields<TargetStateReport>
 {
     static constexpr auto List = std::tuple(&TargetStateReport::instance, &TargetStateReport::load,
-                                            &TargetStateReport::replaced, &TargetStateReport::age);
+                                            &TargetStateReport::departed, &TargetStateReport::age);
 };
 
 template <>
--- a/packages/state/ggv/state/admission/fwd.hpp
+++ b/packages/state/ggv/state/admission/fwd.hpp
@@ -16,5 +16,7 @@
 class RetryStormGuard;
 struct QueueEntry;
 class WaitQueue;
+class MemoryBudget;
+class MemoryReservation;
 
 } // namespace ggv
--- a/packages/state/ggv/state/routing/fwd.hpp
+++ b/packages/state/ggv/state/routing/fwd.hpp
@@ -9,5 +9,8 @@
 class RouteTable;
 struct ListedTarget;
 class TargetPool;
+class DepartedTargets;
+class TargetBackoff;
+struct RetryDelay;
 
 } // namespace ggv
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -103,10 +103,14 @@
         return "cold";
     case TargetStatus::Replaced:
         return "replaced";
+    case TargetStatus::Departed:
+        return "departed";
     case TargetStatus::Down:
         return "down";
     case TargetStatus::Working:
         return "working";
+    case TargetStatus::BackingOff:
+        return "backing-off";
     }
     return "unlisted";
 }
@@ -135,6 +139,7 @@
 void TargetPool::update(const TargetList &list, Duration age, Instant now)
 {
     m_hasList = true;
+    m_departed.update(list, now);
     std::map<std::string, PooledTargetRef> byInstance;
     std::map<ServiceName, Candidates> services;
     for (const auto &listing : list.targets) {
@@ -149,6 +154,7 @@
         const bool startsColdPeriod
             = !isSameTarget || target->m_listing.coldDuration != listing.coldDuration;
         target->m_listing = listing;
+        target->m_departed = target->m_departed || m_departed.contains(listing);
         target->m_listing.leaving = listing.leaving || wasLeaving;
         if (!isSameTarget)
             notifyObserver(*target, TargetStatus::Listed, ListEvidence, age);
@@ -196,20 +202,26 @@
     m_evacuated = domains;
 }
 
+bool TargetPool::mayReceive(const PooledTarget &target, Instant now) const
+{
+    return !target.m_listing.leaving && !target.m_departed && !target.m_backoff.isActive(now)
+        && !m_evacuated.contains(target.m_listing.domain);
+}
+
 bool TargetPool::mayServe(const PooledTarget &target, const TargetQuery &query, Instant now) const
 {
-    if (target.m_listing.leaving || target.m_replaced
-        || m_evacuated.contains(target.m_listing.domain))
-        return false;
+    return mayReceive(target, now) && isEligible(target, query);
+}
+
+// Whether the request's route and earlier attempts admit the target.
+bool TargetPool::isEligible(const PooledTarget &target, const TargetQuery &query) const
+{
     if (query.triedInstances.contains(target.m_listing.instance))
         return false;
     const auto &allowedRegions = query.route->allowedRegions;
-    if (!allowedRegions.empty()
-        && std::find(allowedRegions.begin(), allowedRegions.end(), target.m_region)
-            == allowedRegions.end())
-        return false;
-    (void)now;
-    return true;
+    return allowedRegions.empty()
+        || std::find(allowedRegions.begin(), allowedRegions.end(), target.m_region)
+        != allowedRegions.end();
 }
 
 bool TargetPool::isHealthy(const PooledTarget &target, Instant now) const
@@ -363,8 +375,11 @@
     TargetChoice choice;
     if (query.route->sticky)
         choice.object = query.object;
-    if (ranked.empty())
+    if (ranked.empty()) {
+        if (earliestBackoffEnd(query, now))
+            choice.reason = NoTargetReason::AllBackingOff;
         return choice;
+    }
     choice.reason = NoTargetReason::AllFull;
     const double share = std::max(0.0, MaxWaitShare - WaitSharePerPriority * query.route->priority);
     const Duration maxWait(
@@ -467,8 +482,8 @@
             continue;
         const auto &target = *it->second;
         const auto load = static_cast<std::uint32_t>(target.m_othersLoad + target.m_inFlight);
-        const Duration age = target.m_replaced ? Duration(0) : now - target.m_reportedAt;
-        reports.push_back({ instance, load, target.m_replaced, age });
+        const Duration age = target.m_departed ? Duration(0) : now - target.m_reportedAt;
+        reports.push_back({ instance, load, target.m_departed, age });
     }
     return reports;
 }
@@ -480,24 +495,45 @@
         if (known == m_byInstance.end())
             continue;
         auto &target = *known->second;
-        if (it.replaced && !target.m_replaced) {
-            target.m_replaced = true;
-            notifyObserver(target, TargetStatus::Replaced, SharedEvidence, it.age);
+        if (it.departed && !target.m_departed) {
+            target.m_departed = true;
+            m_departed.record(target.m_listing, now);
+            notifyObserver(target, TargetStatus::Departed, SharedEvidence, it.age);
         }
-        if (it.replaced || now - it.age <= target.m_reportedAt)
+        if (it.departed || now - it.age <= target.m_reportedAt)
             continue;
         target.m_othersLoad = std::max(0.0, static_cast<double>(it.load) - target.m_inFlight);
         target.m_reportedAt = now - it.age;
     }
 }
 
-void TargetPool::observeReplaced(PooledTarget &target)
+void TargetPool::exclude(PooledTarget &target, TargetStatus status, Instant now)
 {
-    if (target.m_replaced)
+    if (target.m_departed)
         return;
-    target.m_replaced = true;
+    target.m_departed = true;
+    m_departed.record(target.m_listing, now);
     m_pendingReports.insert(target.m_listing.instance);
-    notifyObserver(target, TargetStatus::Replaced, AnswerEvidence);
+    notifyObserver(target, status, AnswerEvidence);
+}
+
+void TargetPool::observeReplaced(PooledTarget &target, Instant now)
+{
+    exclude(target, TargetStatus::Replaced, now);
+}
+
+void TargetPool::observeLeaving(PooledTarget &target, Instant now)
+{
+    exclude(target, TargetStatus::Leaving, now);
+}
+
+void TargetPool::observeRetryAfter(PooledTarget &target, Duration retryAfter, Instant now)
+{
+    const bool wasActive = target.m_backoff.isActive(now);
+    target.m_backoff.observe(retryAfter, now);
+    if (target.m_backoff.isActive(now) && !wasActive)
+        notifyObserver(target, TargetStatus::BackingOff, AnswerEvidence, Duration(0),
+                       target.m_backoff.endsAt() - now);
 }
 
 void TargetPool::observeRestart(PooledTarget &target, Instant now)
@@ -512,7 +548,32 @@
         extendColdPeriod(target, policy->second.coldStart, source, Duration(0), now);
 }
 
-Duration TargetPool::retryAfter(const ServiceName &) const noexcept { return RetryAfterWhenFull; }
+// Returns the earliest end of the periods stated by targets that could otherwise serve the request.
+std::optional<Instant> TargetPool::earliestBackoffEnd(const TargetQuery &query, Instant now) const
+{
+    std::optional<Instant> earliest;
+    const auto service = m_services.find(query.service);
+    if (service == m_services.end())
+        return earliest;
+    for (const auto &it : service->second) {
+        const Instant endsAt = it->m_backoff.endsAt();
+        const bool isAvailableLater = it->m_backoff.isActive(now) && mayReceive(*it, endsAt);
+        if (isAvailableLater && isEligible(*it, query))
+            earliest = std::min(earliest.value_or(endsAt), endsAt);
+    }
+    return earliest;
+}
+
+RetryDelay TargetPool::retryDelay(TargetQuery query, Instant now) const
+{
+    query.triedInstances.clear(); // The caller's next attempt may use them again.
+    const auto service = m_services.find(query.service);
+    const bool isAnyAvailable = service != m_services.end()
+        && std::any_of(service->second.begin(), service->second.end(),
+                       [&](const auto &it) { return mayServe(*it, query, now); });
+    const auto backoffEnd = isAnyAvailable ? std::nullopt : earliestBackoffEnd(query, now);
+    return { backoffEnd ? *backoffEnd - now : RetryAfterWhenFull, RetryAfterWhenFull };
+}
 
 std::vector<PooledTargetRef> TargetPool::targets() const
 {
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -2,8 +2,10 @@
 
 #include <ggv/state/core/random_source.hpp>
 #include <ggv/state/health/target_health.hpp>
+#include <ggv/state/routing/departed_targets.hpp>
 #include <ggv/state/routing/listed_target.hpp>
 #include <ggv/state/routing/route_table.hpp>
+#include <ggv/state/routing/target_backoff.hpp>
 #include <ggv/state/routing/target_state_report.hpp>
 
 #include <cstdint>
@@ -69,7 +71,9 @@
     bool m_wasReportedBusy
         = false; //!< All slots were in use according to the latest report to this host.
     bool m_isDown = false; //!< The last notification of the observer was Down, not Working.
-    bool m_replaced = false; //!< Another instance answered at the target's address.
+    //! The target said that it is leaving, or another instance answered at its address.
+    bool m_departed = false;
+    TargetBackoff m_backoff;
     Instant m_coldUntil = Instant::min();
     double m_coldTokens = 0.0;
     Instant m_coldRefilledAt = Instant::min();
@@ -93,8 +97,10 @@
     Leaving,
     Cold, //!< Limited to the cold rate for a period.
     Replaced, //!< Another instance answers at the target's address.
+    Departed, //!< Leaving or replaced, according to another host.
     Down, //!< Receives no requests for a period because requests failed.
     Working, //!< Recovered after it was down.
+    BackingOff, //!< Receives no requests for the time that it stated.
 };
 
 //! @return Name of the status for logs.
@@ -107,7 +113,7 @@
     TargetStatus status = TargetStatus::Listed;
     const char *source = ""; //!< Name of the evidence for the change.
     Duration age { 0 }; //!< Age of the evidence.
-    Duration statusDuration { 0 }; //!< Length of the cold period; set only for Cold.
+    Duration statusDuration { 0 }; //!< Length of the period; set only for Cold and BackingOff.
 };
 
 //! Mean service times of a service's targets, for cached and uncached objects.
@@ -123,6 +129,7 @@
 enum class NoTargetReason : std::uint8_t {
     NoneListed, //!< The service has no target that may serve the request.
     AllFull, //!< Every eligible target has too long a queue or no cold-rate token.
+    AllBackingOff, //!< Every eligible target stated a Retry-After that has not passed.
 };
 
 //! Result of TargetPool::choose().
@@ -176,17 +183,24 @@
     void observeLoad(PooledTarget &target, const ReportedLoad &load, Instant now);
     //! Excludes the target until its address is listed with another instance, because another
     //! instance answered there.
-    void observeReplaced(PooledTarget &target);
-    //! @return State of the targets that were busy, stopped being busy or were replaced since the
-    //! last call.
+    void observeReplaced(PooledTarget &target, Instant now);
+    //! Excludes the target because an answer of it says that it is leaving.
+    void observeLeaving(PooledTarget &target, Instant now);
+    //! Excludes the target for the Retry-After of an answer with which it rejected a request.
+    void observeRetryAfter(PooledTarget &target, Duration retryAfter, Instant now);
+    //! @return True if a request that was assigned to the target earlier may still be sent to it.
+    [[nodiscard]] bool mayReceive(const PooledTarget &target, Instant now) const;
+    //! @return State of the targets that were busy, stopped being busy or departed since the last
+    //! call.
     [[nodiscard]] std::vector<TargetStateReport> takeStateReports(Instant now);
     //! Applies state reports of other entry hosts unless this host has newer evidence.
     void applyStateReports(const std::vector<TargetStateReport> &reports, Instant now);
     //! Marks the target as cold for the service's cold start time; it may have restarted.
     void observeRestart(PooledTarget &target, Instant now);
 
-    //! @return Time after which a rejected caller should retry.
-    [[nodiscard]] Duration retryAfter(const ServiceName &service) const noexcept;
+    //! @return When the caller of a rejected request should retry: once the first target accepts
+    //! requests again, if all of them stated a Retry-After.
+    [[nodiscard]] RetryDelay retryDelay(TargetQuery query, Instant now) const;
     //! @return True after the first call of update().
     [[nodiscard]] bool hasList() const noexcept { return m_hasList; }
     //! @return All known targets.
@@ -203,6 +217,10 @@
 
     [[nodiscard]] bool mayServe(const PooledTarget &target, const TargetQuery &query,
                                 Instant now) const;
+    [[nodiscard]] bool isEligible(const PooledTarget &target, const TargetQuery &query) const;
+    [[nodiscard]] std::optional<Instant> earliestBackoffEnd(const TargetQuery &query,
+                                                            Instant now) const;
+    void exclude(PooledTarget &target, TargetStatus status, Instant now);
     [[nodiscard]] bool isHealthy(const PooledTarget &target, Instant now) const;
     [[nodiscard]] double ownRegionWeight(const Candidates &candidates) const;
     [[nodiscard]] bool isInOwnRegion(const PooledTarget &target) const;
@@ -240,6 +258,7 @@
     std::map<ServiceName, ServicePolicy> m_policies;
     std::map<ServiceName, ServiceTimeEstimate> m_serviceTimes;
     std::set<FailureDomainName> m_evacuated;
+    DepartedTargets m_departed;
     std::set<std::string> m_pendingReports; //!< Instances to include in the next state reports.
     std::size_t m_entryHosts = 1;
     bool m_hasList = false;
--- a/packages/state/ggv/state/routing/target_state_report.hpp
+++ b/packages/state/ggv/state/routing/target_state_report.hpp
@@ -13,7 +13,8 @@
 {
     std::string instance;
     std::uint32_t load = 0; //!< Requests that the target was executing or had queued.
-    bool replaced = false; //!< Another instance answered at the target's address.
+    //! The target is leaving, or another instance answered at its address.
+    bool departed = false;
     Duration age { 0 }; //!< Time since the observation.
 
     [[nodiscard]] auto operator<=>(const TargetStateReport &) const = default;
--- a/packages/state/test/routing/target_pool_test.cpp
+++ b/packages/state/test/routing/target_pool_test.cpp
@@ -79,6 +79,10 @@
     CPPUNIT_TEST(fullServiceRejectsLowPriorityRequestsFirst);
     CPPUNIT_TEST(leavingTargetsGetNoRequests);
     CPPUNIT_TEST(replacedTargetsGetNoRequestsUntilRelisted);
+    CPPUNIT_TEST(leavingAnswerHoldsOverGapsOfTheList);
+    CPPUNIT_TEST(leavingAnswerReachesOtherHosts);
+    CPPUNIT_TEST(statedRetryAfterExcludesATarget);
+    CPPUNIT_TEST(allTargetsBackingOffGiveTheEarliestEnd);
     CPPUNIT_TEST(evacuatedDomainsGetNoRequestsAndReturnCold);
     CPPUNIT_TEST(onlyListedRegionsServeARoute);
     CPPUNIT_TEST(coldTargetsGetTheirShareOfTheRate);
@@ -215,7 +219,7 @@
     {
         const auto choice = choose(7);
         const auto preferred = choice.target->listing().instance;
-        m_pool->observeReplaced(*choice.target);
+        m_pool->observeReplaced(*choice.target, m_now);
         m_pool->finish(choice, std::nullopt, m_now, m_now);
         m_pool->update(sampleList(), Duration(0), m_now);
         CPPUNIT_ASSERT(serve(7) != preferred);
@@ -231,6 +235,68 @@
         CPPUNIT_ASSERT(used);
     }
 
+    void leavingAnswerHoldsOverGapsOfTheList()
+    {
+        const auto choice = choose(7);
+        const auto preferred = choice.target->listing().instance;
+        m_pool->observeLeaving(*choice.target, m_now);
+        m_pool->finish(choice, TargetOutcome::Success, m_now, m_now);
+        CPPUNIT_ASSERT(!m_pool->mayReceive(*choice.target, m_now));
+        CPPUNIT_ASSERT(serve(7) != preferred);
+        auto list = sampleList();
+        std::erase_if(list.targets, [&](const auto &it) { return it.instance == preferred; });
+        m_pool->update(list, Duration(0), m_now);
+        m_pool->update(sampleList(), Duration(0), m_now + seconds(1));
+        for (std::uint64_t object = 0; object < 100; ++object)
+            CPPUNIT_ASSERT(serve(object) != preferred);
+    }
+
+    void leavingAnswerReachesOtherHosts()
+    {
+        TargetPool other(sampleTopology());
+        other.setRules(sampleRules());
+        other.update(sampleList(), Duration(0), m_now);
+        const auto choice = choose(7);
+        m_pool->observeLeaving(*choice.target, m_now);
+        other.applyStateReports(m_pool->takeStateReports(m_now), m_now);
+        const auto redirected = other.choose(queryFor(7), TimeLeft, m_now, m_random);
+        CPPUNIT_ASSERT(redirected.target->listing().instance != choice.target->listing().instance);
+    }
+
+    void statedRetryAfterExcludesATarget()
+    {
+        const auto choice = choose(7);
+        const auto preferred = choice.target->listing().instance;
+        m_pool->observeRetryAfter(*choice.target, seconds(2), m_now);
+        m_pool->finish(choice, TargetOutcome::Overloaded, m_now, m_now);
+        m_now += milliseconds(1999);
+        CPPUNIT_ASSERT(!m_pool->mayReceive(*choice.target, m_now));
+        CPPUNIT_ASSERT(serve(7) != preferred);
+        m_now += milliseconds(1);
+        CPPUNIT_ASSERT_EQUAL(preferred, serve(7));
+    }
+
+    // Overload of a whole service: panic mode, which ignores health, respects the stated times.
+    void allTargetsBackingOffGiveTheEarliestEnd()
+    {
+        int number = 0;
+        for (const auto &it : m_pool->targets()) {
+            m_pool->observeRetryAfter(*it, milliseconds(3000 + 100 * number++), m_now);
+            if (it->listing().domain == FailureDomainName("a"))
+                m_pool->observeLeaving(*it, m_now);
+        }
+        const auto choice = choose(7);
+        CPPUNIT_ASSERT(!choice.target);
+        CPPUNIT_ASSERT(choice.reason == NoTargetReason::AllBackingOff);
+        const auto delay = m_pool->retryDelay(queryFor(7), m_now);
+        // The four targets of "a" are the first ones and are leaving.
+        CPPUNIT_ASSERT(delay.earliest == milliseconds(3400));
+        CPPUNIT_ASSERT(delay.spread > Duration(0));
+        m_now += milliseconds(3400);
+        CPPUNIT_ASSERT(choose(7).target);
+        CPPUNIT_ASSERT(m_pool->retryDelay(queryFor(7), m_now).earliest < seconds(1));
+    }
+
     void evacuatedDomainsGetNoRequestsAndReturnCold()
     {
         m_pool->setEvacuated({ FailureDomainName("a"), FailureDomainName("b") }, m_now);
@@ -372,7 +438,7 @@
         CPPUNIT_ASSERT(
             other.choose(queryFor(7), TimeLeft, m_now, m_random).target->listing().instance
             != preferred->listing().instance);
-        m_pool->observeReplaced(*preferred);
+        m_pool->observeReplaced(*preferred, m_now);
         other.applyStateReports(m_pool->takeStateReports(m_now), m_now);
         CPPUNIT_ASSERT(other.takeStateReports(m_now).empty());
         for (int n = 0; n < 100; ++n) {
