Repeat unanswered vote requests and announce new control hosts at once

A candidate repeats its requests at the heartbeat interval to members that have not granted them; a control host that hears of a new or changed one passes that on with its next tick.

Test: RaftRulesTest::candidateRepeatsUnansweredRequests.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -130,6 +130,8 @@
         m_heartbeatDue = m_heartbeatDue || m_now >= m_heartbeatDeadline;
     } else if (canCampaign() && m_now >= m_electionDeadline) {
         startPreVote();
+    } else if (m_role == RaftRole::Candidate && m_now >= m_voteRequestDeadline) {
+        sendVoteRequests();
     }
 }
 
@@ -190,7 +192,10 @@
 {
     if (isLeader())
         return m_heartbeatDeadline;
-    return canCampaign() ? m_electionDeadline : m_now + LearnerInterval;
+    if (!canCampaign())
+        return m_now + LearnerInterval;
+    return m_role == RaftRole::Candidate ? std::min(m_electionDeadline, m_voteRequestDeadline)
+                                         : m_electionDeadline;
 }
 
 RaftStatus Raft::Implementation::status() const
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -102,10 +102,18 @@
     m_role = RaftRole::Candidate;
     m_isPreVote = preVote;
     m_votes = { m_self };
-    const Term term = preVote ? m_hardState.term + 1 : m_hardState.term;
+    sendVoteRequests();
+}
+
+// Requests the votes that are missing. Repeated, because after a restart of all members some of
+// them cannot be reached yet when the first request is sent.
+void Raft::Implementation::sendVoteRequests()
+{
+    m_voteRequestDeadline = m_now + m_options.heartbeatInterval;
+    const Term term = m_isPreVote ? m_hardState.term + 1 : m_hardState.term;
     for (const MemberId member : members().voters) {
-        if (member != m_self)
-            send(member, VoteRequest { term, m_log.lastIndex(), m_log.lastTerm(), preVote });
+        if (!m_votes.contains(member))
+            send(member, VoteRequest { term, m_log.lastIndex(), m_log.lastTerm(), m_isPreVote });
     }
 }
 
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -75,6 +75,7 @@
     [[nodiscard]] bool wonElection() const;
     void resetElectionTimer();
     void campaign(bool preVote);
+    void sendVoteRequests();
     void startPreVote();
     void startElection();
     void becomeLeader();
@@ -157,6 +158,7 @@
     std::map<MemberId, detail::ReplicationProgress> m_progress;
     LogIndex m_firstIndexOfTerm = 0;
     Instant m_heartbeatDeadline;
+    Instant m_voteRequestDeadline {}; // Of a candidate.
     bool m_heartbeatDue = false;
     detail::ReadRounds m_rounds;
     std::optional<Instant> m_leaseStart;
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -271,7 +271,7 @@
         const bool isNew = !session.report;
         session.report = report;
         if (m_directory.observe({ report.host, Duration(0) }, monotonicNow()))
-            logHostSeen(report.host);
+            onHostChanged(report.host);
         if (isNew)
             session.sentRevision = report.revision;
         session.sentDigest = report.listDigest;
@@ -334,6 +334,14 @@
         }
     }
 
+    // Other control hosts learn of a new or changed one at once: they may need its vote.
+    void onHostChanged(const HostAnnouncement &host)
+    {
+        logHostSeen(host);
+        if (host.role == HostRole::Control)
+            m_hostObservationsSentAt = Instant(Duration(0));
+    }
+
     static void logHostSeen(const HostAnnouncement &host)
     {
         logEvent(LogLevel::Info, "host-seen",
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -299,6 +299,7 @@
     CPPUNIT_TEST(nonMemberNeverVotes);
     CPPUNIT_TEST(grantsNoVoteWhileALeaderMayHoldItsLease);
     CPPUNIT_TEST(persistsItsVoteAcrossRestarts);
+    CPPUNIT_TEST(candidateRepeatsUnansweredRequests);
     CPPUNIT_TEST(firstLeaderNeedsEveryVoter);
     CPPUNIT_TEST(commitsOnlyWithEntriesOfItsTerm);
     CPPUNIT_TEST(changesMembersOnlyAfterCommitOfItsTerm);
@@ -336,6 +337,26 @@
         CPPUNIT_ASSERT(granted(single.receive(2, request)));
     }
 
+    // After a restart of all members, the first requests are lost because the connections are not
+    // established yet.
+    void candidateRepeatsUnansweredRequests()
+    {
+        FakeDisk disk;
+        storeEntryOfEarlierTerm(disk);
+        SingleMember single(disk);
+        for (const bool preVote : { true, false }) {
+            single.now = single.raft->nextDeadline();
+            single.raft->tick(single.now);
+            CPPUNIT_ASSERT_EQUAL(2U, voteRequests(single.raft->takeOutput()));
+            single.now = single.raft->nextDeadline();
+            single.raft->tick(single.now);
+            CPPUNIT_ASSERT_EQUAL(2U, voteRequests(single.raft->takeOutput()));
+            const Term term = single.raft->status().term + (preVote ? 1 : 0);
+            static_cast<void>(single.receive(2, VoteAnswer { term, true, preVote }));
+        }
+        CPPUNIT_ASSERT(RaftRole::Leader == single.raft->status().role);
+    }
+
     void persistsItsVoteAcrossRestarts()
     {
         FakeDisk disk;
@@ -478,6 +499,14 @@
             && std::get<VoteAnswer>(output.messages.front().body).granted;
     }
 
+    static unsigned voteRequests(const RaftOutput &output)
+    {
+        return static_cast<unsigned>(
+            std::count_if(output.messages.begin(), output.messages.end(), [](const auto &it) {
+                return std::holds_alternative<VoteRequest>(it.body);
+            }));
+    }
+
     static void storeEntryOfEarlierTerm(FakeDisk &disk)
     {
         const auto store = LogStore::open(disk, "q-", Self).value();
--- a/packages/state/test/routing/departed_targets_test.cpp
+++ b/packages/state/test/routing/departed_targets_test.cpp
@@ -7,7 +7,6 @@
 using ggv::DepartedTargets;
 using ggv::Instant;
 using ggv::ListedTarget;
-using ggv::TargetList;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
