Let a quorum member yield once to another candidate

A member that grants a pre-vote holds back its own candidacy for one timeout; of two candidates in pre-vote the one with the lower id goes first. Once only until there is a leader, as the other one may be unable to receive answers (one-way cuts).

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -111,6 +111,8 @@
 {
     if (m_leader != leader)
         m_output.leadershipChanged = true;
+    if (leader != 0)
+        m_hasYielded = false;
     m_leader = leader;
 }
 
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -20,9 +20,25 @@
     const bool granted = request.term > m_hardState.term && !hasRecentLeaderContact()
         && m_log.isUpToDate(request.lastIndex, request.lastTerm);
     const Term term = granted ? request.term : m_hardState.term;
+    if (granted)
+        yieldTo(from);
     send(from, VoteAnswer { term, granted, true });
 }
 
+// Lets another candidate go first, so that members whose timers expire within a round trip of each
+// other do not split the votes. Of two candidates the one with the lower id goes first. Yields once
+// only until there is a leader: the other one may be unable to receive the answers.
+void Raft::Implementation::yieldTo(MemberId candidate)
+{
+    const bool competes = m_role == RaftRole::Candidate;
+    if (m_hasYielded || (competes && (!m_isPreVote || candidate > m_self)))
+        return;
+    m_hasYielded = true;
+    m_role = RaftRole::Follower;
+    m_votes.clear();
+    resetElectionTimer();
+}
+
 // Ignores vote requests while there is recent leader contact: the leader lease relies on this, and
 // a member that was partitioned away must not raise the term.
 void Raft::Implementation::answerVote(MemberId from, const VoteRequest &request)
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -76,6 +76,7 @@
     void resetElectionTimer();
     void campaign(bool preVote);
     void sendVoteRequests();
+    void yieldTo(MemberId candidate);
     void startPreVote();
     void startElection();
     void becomeLeader();
@@ -152,6 +153,7 @@
 
     // Candidate.
     bool m_isPreVote = false;
+    bool m_hasYielded = false; // To another candidate since there was a leader.
     std::set<MemberId> m_votes;
 
     // Leader.
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -251,16 +251,18 @@
 class SingleMember
 {
 public:
-    explicit SingleMember(FakeDisk &disk, std::vector<MemberId> bootstrap = ThreeVoters)
-        : m_store(LogStore::open(disk, "q-", Self).value())
+    explicit SingleMember(FakeDisk &disk, std::vector<MemberId> bootstrap = ThreeVoters,
+                          MemberId self = Self)
+        : m_self(self)
+        , m_store(LogStore::open(disk, "q-", self).value())
         , m_machine(m_history)
-        , raft(Raft::create(Self, std::move(bootstrap), RaftOptions(), *m_store, m_machine, now)
+        , raft(Raft::create(self, std::move(bootstrap), RaftOptions(), *m_store, m_machine, now)
                    .value())
     { }
 
     RaftOutput receive(MemberId from, RaftBody body)
     {
-        raft->receive({ from, Self, std::move(body) }, now);
+        raft->receive({ from, m_self, std::move(body) }, now);
         return raft->takeOutput();
     }
 
@@ -284,6 +286,7 @@
     }
 
 private:
+    MemberId m_self;
     std::unique_ptr<LogStore> m_store;
     SharedHistory m_history;
     ListStateMachine m_machine;
@@ -300,6 +303,7 @@
     CPPUNIT_TEST(grantsNoVoteWhileALeaderMayHoldItsLease);
     CPPUNIT_TEST(persistsItsVoteAcrossRestarts);
     CPPUNIT_TEST(candidateRepeatsUnansweredRequests);
+    CPPUNIT_TEST(yieldsOnceToAnotherCandidate);
     CPPUNIT_TEST(firstLeaderNeedsEveryVoter);
     CPPUNIT_TEST(commitsOnlyWithEntriesOfItsTerm);
     CPPUNIT_TEST(changesMembersOnlyAfterCommitOfItsTerm);
@@ -357,6 +361,31 @@
         CPPUNIT_ASSERT(RaftRole::Leader == single.raft->status().role);
     }
 
+    // Timers of several members expire within a round trip, as after a restart of all of them.
+    void yieldsOnceToAnotherCandidate()
+    {
+        FakeDisk disk;
+        storeEntryOfEarlierTerm(disk, 2);
+        SingleMember single(disk, ThreeVoters, 2);
+        const VoteRequest request { 4, 1, 2, true };
+        single.now = single.raft->nextDeadline();
+        single.raft->tick(single.now);
+        CPPUNIT_ASSERT_EQUAL(2U, voteRequests(single.raft->takeOutput()));
+        CPPUNIT_ASSERT(granted(single.receive(3, request)));
+        CPPUNIT_ASSERT(RaftRole::Candidate == single.raft->status().role);
+        CPPUNIT_ASSERT(granted(single.receive(1, request)));
+        CPPUNIT_ASSERT(RaftRole::Follower == single.raft->status().role);
+        const Instant deadline = single.raft->nextDeadline();
+        CPPUNIT_ASSERT(deadline >= single.now + RaftOptions().electionTimeoutMin);
+        // The other candidate may be unable to win: its next request is not waited for.
+        single.now += std::chrono::milliseconds(100);
+        CPPUNIT_ASSERT(granted(single.receive(1, request)));
+        CPPUNIT_ASSERT(deadline == single.raft->nextDeadline());
+        single.now = deadline;
+        single.raft->tick(single.now);
+        CPPUNIT_ASSERT(RaftRole::Candidate == single.raft->status().role);
+    }
+
     void persistsItsVoteAcrossRestarts()
     {
         FakeDisk disk;
@@ -507,9 +536,9 @@
             }));
     }
 
-    static void storeEntryOfEarlierTerm(FakeDisk &disk)
+    static void storeEntryOfEarlierTerm(FakeDisk &disk, MemberId self = Self)
     {
-        const auto store = LogStore::open(disk, "q-", Self).value();
+        const auto store = LogStore::open(disk, "q-", self).value();
         store->saveHardState({ 3, 0 });
         store->append({ { 1, 2, 0, encodeNumber(1) } });
         store->sync();
