--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -259,7 +259,7 @@
         try {
             const auto message = decodeFleetMessage(bytes);
             std::visit([this, &it](const auto &body) { handle(it->second, body); }, message);
-        } catch (const Error &error) {
+        } catch (const std::exception &error) {
             logEvent(LogLevel::Error, "message-refused", { { "reason", error.what() } });
             it->second.connection->close();
             m_sessions.erase(id);
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -189,7 +189,7 @@
             handle(*report);
         else if (const auto *stateReports = std::get_if<TargetStateReports>(&message))
             m_handlers.onStateReports(stateReports->targets);
-    } catch (const Error &error) {
+    } catch (const std::exception &error) {
         disconnect(error.what());
     }
 }
--- /dev/null
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -0,0 +1,187 @@
+#include <ggv/coordination/fleet/control_host.hpp>
+#include <ggv/coordination/fleet/fleet_mesh.hpp>
+#include <ggv/coordination/fleet/target_list_reader.hpp>
+#include <ggv/protocol/codec/fleet_codec.hpp>
+#include <ggv/transport/net/frame_connection.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <random>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace {
+
+using ggv::Bytes;
+using ggv::ControlHost;
+using ggv::Duration;
+using ggv::Endpoint;
+using ggv::FleetMessage;
+using ggv::FrameConnection;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ggv::MemberId ForeignMember = 77;
+
+class EmptyList : public ggv::TargetListReader
+{
+public:
+    boost::asio::awaitable<std::vector<ggv::ListedTarget>> read() override
+    {
+        co_return std::vector<ggv::ListedTarget>();
+    }
+};
+
+ggv::HostAnnouncement sampleHost(ggv::HostRole role)
+{
+    return { ggv::HostName("a-1"),
+             role,
+             { "127.0.0.1", 8000 },
+             { "127.0.0.1", 1 },
+             ggv::FailureDomainName("a"),
+             ggv::RegionName("north"),
+             ForeignMember,
+             true };
+}
+
+ggv::ListedTarget sampleTarget()
+{
+    return { "i-1",
+             ggv::ServiceName("shop"),
+             { "10.0.1.1", 80 },
+             ggv::FailureDomainName("a"),
+             9,
+             false,
+             Duration(250) };
+}
+
+std::vector<FleetMessage> sampleMessages()
+{
+    const ggv::LogEntry entry { 1, 1, 0, { 1, 2, 3 } };
+    return {
+        ggv::HostReport { sampleHost(ggv::HostRole::Control), 4, 5 },
+        ggv::HostReport { sampleHost(ggv::HostRole::Entry), 4, 5 },
+        ggv::HostObservationReport { { { sampleHost(ggv::HostRole::Control), Duration(12) } } },
+        ggv::QuorumEnvelope { { ForeignMember, 2, ggv::VoteRequest { 3, 1, 1, false } } },
+        ggv::QuorumEnvelope {
+            { ForeignMember, 2, ggv::AppendRequest { 1, 0, 0, 0, 0, { entry } } } },
+        ggv::TargetListReport { 8, Duration(9), { { sampleTarget() } }, {} },
+        ggv::TargetListReport { 8, Duration(9), {}, { { 7, { 0, 300 }, { sampleTarget() } } } },
+        ggv::TargetStateReports { { { "i-1", 20, true, Duration(300) } } }
+    };
+}
+
+class ControlHostTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ControlHostTest);
+    CPPUNIT_TEST(malformedMessagesCloseOnlyTheirConnection);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "ggv-host-XXXXXX").string();
+        CPPUNIT_ASSERT(::mkdtemp(name.data()) != nullptr);
+        m_folder = name;
+        m_endpoint = freeEndpoint();
+        ggv::ControlHostSetup setup;
+        setup.self.name = ggv::HostName("control-1");
+        setup.self.role = ggv::HostRole::Control;
+        setup.self.internal = m_endpoint;
+        setup.seeds = { m_endpoint };
+        setup.dataFolder = name;
+        setup.initialize = true;
+        m_host = ControlHost::start(m_context, std::move(setup), m_reader).value();
+    }
+
+    void tearDown() override
+    {
+        m_host.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void malformedMessagesCloseOnlyTheirConnection()
+    {
+        constexpr int Connections = 200;
+        std::mt19937_64 random(20261204);
+        for (int n = 0; n < Connections; ++n)
+            sendModifiedMessages(random);
+        m_context.run_for(milliseconds(200));
+        CPPUNIT_ASSERT(isAnswered());
+    }
+
+private:
+    Endpoint freeEndpoint()
+    {
+        const boost::asio::ip::tcp::acceptor acceptor(
+            m_context, { boost::asio::ip::address_v4::loopback(), 0 });
+        return { "127.0.0.1", acceptor.local_endpoint().port() };
+    }
+
+    // Opens a connection; returns null after a time-out.
+    std::shared_ptr<FrameConnection> connect(const std::function<void()> &onMessage)
+    {
+        std::shared_ptr<FrameConnection> opened;
+        ggv::connectFrames(
+            m_context, m_endpoint, ggv::fleetFrameOptions(),
+            [&opened](std::shared_ptr<FrameConnection> connection) {
+                opened = std::move(connection);
+            },
+            [](ggv::ConnectFailure) {});
+        runUntil([&opened] { return opened != nullptr; });
+        if (opened)
+            opened->start([onMessage](ggv::ByteView) { onMessage(); }, [](const ggv::Error &) {});
+        return opened;
+    }
+
+    void sendModifiedMessages(std::mt19937_64 &random)
+    {
+        const auto connection = connect([] {});
+        CPPUNIT_ASSERT(connection);
+        // The sender is announced unchanged, so that its other messages are not ignored.
+        connection->send(ggv::encodeFleetMessage(sampleMessages().front()));
+        for (const auto &it : sampleMessages()) {
+            Bytes bytes = ggv::encodeFleetMessage(it);
+            const auto at = random() % bytes.size();
+            if (random() % 4 == 0)
+                bytes.resize(at);
+            else
+                bytes[at] = static_cast<std::uint8_t>(random());
+            if (!bytes.empty())
+                connection->send(bytes);
+        }
+        m_context.run_for(milliseconds(2));
+        connection->close();
+    }
+
+    bool isAnswered()
+    {
+        bool answered = false;
+        const auto connection = connect([&answered] { answered = true; });
+        CPPUNIT_ASSERT(connection);
+        connection->send(
+            ggv::encodeFleetMessage(ggv::HostReport { sampleHost(ggv::HostRole::Entry), 0, 0 }));
+        runUntil([&answered] { return answered; });
+        connection->close();
+        return answered;
+    }
+
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + seconds(5);
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            m_context.run_for(milliseconds(1));
+    }
+
+    boost::asio::io_context m_context;
+    EmptyList m_reader;
+    Endpoint m_endpoint;
+    std::filesystem::path m_folder;
+    std::unique_ptr<ControlHost> m_host;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlHostTest);
+
+} // namespace
--- a/packages/protocol/test/codec/fleet_codec_test.cpp
+++ b/packages/protocol/test/codec/fleet_codec_test.cpp
@@ -90,21 +90,22 @@
 
     void corruptedBytesAreRejectedOrDecode()
     {
-        rc::check("truncated or modified bytes either decode or raise ProtocolViolation", [] {
-            const auto messages = sampleMessages();
-            Bytes bytes = ggv::encodeFleetMessage(
-                messages[*rc::gen::inRange<std::size_t>(0, messages.size())]);
-            const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
-            if (*rc::gen::arbitrary<bool>())
-                bytes.resize(at);
-            else
-                bytes[at] = *rc::gen::arbitrary<std::uint8_t>();
-            try {
-                (void)ggv::decodeFleetMessage(bytes);
-            } catch (const ggv::Error &error) {
-                RC_ASSERT(error.code() == ggv::ResultCode::ProtocolViolation);
-            }
-        });
+        CPPUNIT_ASSERT(
+            rc::check("truncated or modified bytes either decode or raise ProtocolViolation", [] {
+                const auto messages = sampleMessages();
+                Bytes bytes = ggv::encodeFleetMessage(
+                    messages[*rc::gen::inRange<std::size_t>(0, messages.size())]);
+                const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+                if (*rc::gen::arbitrary<bool>())
+                    bytes.resize(at);
+                else
+                    bytes[at] = *rc::gen::arbitrary<std::uint8_t>();
+                try {
+                    (void)ggv::decodeFleetMessage(bytes);
+                } catch (const ggv::Error &error) {
+                    RC_ASSERT(error.code() == ggv::ResultCode::ProtocolViolation);
+                }
+            }));
     }
 };
 
--- a/packages/state/test/routing/route_table_test.cpp
+++ b/packages/state/test/routing/route_table_test.cpp
@@ -98,16 +98,17 @@
 
     void servicesAreChosenByWeight()
     {
-        rc::check("the service is chosen whose share of the weights contains the fraction", [] {
-            Route route;
-            const auto one = *rc::gen::inRange(0, 100);
-            const auto two = *rc::gen::inRange(1, 100);
-            route.services = { { ServiceName("one"), static_cast<double>(one) },
-                               { ServiceName("two"), static_cast<double>(two) } };
-            const double fraction = *rc::gen::inRange(0, 1000) / 1000.0;
-            const bool first = fraction * (one + two) < one;
-            RC_ASSERT(ggv::chooseService(route, fraction).text() == (first ? "one" : "two"));
-        });
+        CPPUNIT_ASSERT(
+            rc::check("the service is chosen whose share of the weights contains the fraction", [] {
+                Route route;
+                const auto one = *rc::gen::inRange(0, 100);
+                const auto two = *rc::gen::inRange(1, 100);
+                route.services = { { ServiceName("one"), static_cast<double>(one) },
+                                   { ServiceName("two"), static_cast<double>(two) } };
+                const double fraction = *rc::gen::inRange(0, 1000) / 1000.0;
+                const bool first = fraction * (one + two) < one;
+                RC_ASSERT(ggv::chooseService(route, fraction).text() == (first ? "one" : "two"));
+            }));
     }
 };
 
