Do not take a slow frame for silence, nor an invalid address for granted

Frames also counted as silent until they were complete. Parts count now, and the entry host waits for up to 5 s while they arrive.

Tests: FrameConnectionTest::slowFrameIsNoSilence, invalidAddressIsUnreachable.

--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -21,6 +21,9 @@
 //! FeedTimeout if the control host reports that it follows no confirmed leader.
 constexpr Duration BehindFeedTimeout = std::chrono::milliseconds(500);
 
+//! FeedTimeout while a message is being received.
+constexpr Duration MaxReceiveTime = std::chrono::seconds(5);
+
 constexpr int SameDomain = 0;
 constexpr int SameRegion = 1;
 constexpr int OtherRegion = 2;
@@ -68,7 +71,8 @@
 void EntryLink::tick()
 {
     const Instant now = monotonicNow();
-    if (m_connection && now - std::max(m_confirmedAt, m_connectedAt) > feedTimeout())
+    if (m_connection && now - std::max(m_confirmedAt, m_connectedAt) > feedTimeout()
+        && !isReceivingState(now))
         disconnect("no confirmed state received in time");
     if (!m_connection && !m_connecting)
         connectToNext();
@@ -83,6 +87,14 @@
     });
 }
 
+// A large configuration takes long on a slow or busy link; another control host would have to send
+// it from the beginning.
+bool EntryLink::isReceivingState(Instant now) const
+{
+    return !m_peerIsBehind && m_connection->isReceivingFrame()
+        && now - std::max(m_confirmedAt, m_connectedAt) < MaxReceiveTime;
+}
+
 Duration EntryLink::feedTimeout() const { return m_peerIsBehind ? BehindFeedTimeout : FeedTimeout; }
 
 int EntryLink::distance(const HostAnnouncement &host) const
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -68,6 +68,7 @@
     void handle(const TargetListReport &report);
     [[nodiscard]] std::vector<Endpoint> candidateEndpoints() const;
     [[nodiscard]] Duration feedTimeout() const;
+    [[nodiscard]] bool isReceivingState(Instant now) const;
     [[nodiscard]] int distance(const HostAnnouncement &host) const;
 
     boost::asio::io_context &m_context;
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -48,8 +48,10 @@
 
     asio::awaitable<void> connect(Instant deadline)
     {
-        const tcp::endpoint remote(asio::ip::make_address(m_peer.address), m_peer.port);
         boost::system::error_code ec;
+        const tcp::endpoint remote(asio::ip::make_address(m_peer.address, ec), m_peer.port);
+        if (ec)
+            throw Error(ResultCode::TargetUnreachable, m_peer.address + " is not an IP address");
         m_timer.arm(deadline);
         co_await m_socket.async_connect(remote, asio::redirect_error(asio::use_awaitable, ec));
         const bool timedOut = m_timer.disarm();
--- a/packages/transport/ggv/transport/net/frame_connection.cpp
+++ b/packages/transport/ggv/transport/net/frame_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -18,6 +19,9 @@
 
 namespace {
 
+//! Longest pause between two parts of a frame that is still being received.
+constexpr Duration MaxReceivePause = std::chrono::milliseconds(300);
+
 class TcpFrameConnection : public FrameConnection
 {
 public:
@@ -66,6 +70,11 @@
 
     std::uint64_t bytesSent() const noexcept override { return m_bytesSent; }
 
+    bool isReceivingFrame() const noexcept override
+    {
+        return m_receivingPayload && monotonicNow() - m_lastReceived < MaxReceivePause;
+    }
+
 private:
     std::shared_ptr<TcpFrameConnection> self()
     {
@@ -102,17 +111,33 @@
             fail(error.code(), error.what());
             return;
         }
-        asio::async_read(m_socket, asio::buffer(m_payload),
-                         [self = self()](boost::system::error_code ec, std::size_t) {
-                             if (ec)
-                                 self->fail(ResultCode::ConnectionLost, ec.message());
-                             else
-                                 self->deliverFrame();
-                         });
+        m_receivingPayload = true;
+        asio::async_read(
+            m_socket, asio::buffer(m_payload),
+            [self = self()](boost::system::error_code ec, std::size_t n) {
+                return self->onPayloadPart(ec, n);
+            },
+            [self = self()](boost::system::error_code ec, std::size_t) {
+                if (ec)
+                    self->fail(ResultCode::ConnectionLost, ec.message());
+                else
+                    self->deliverFrame();
+            });
+    }
+
+    // A large frame on a slow link is no silence. Returns the number of bytes still to be read.
+    std::size_t onPayloadPart(boost::system::error_code ec, std::size_t received)
+    {
+        if (ec)
+            return 0;
+        if (received > 0)
+            m_lastReceived = monotonicNow();
+        return m_payload.size() - received;
     }
 
     void deliverFrame()
     {
+        m_receivingPayload = false;
         m_lastReceived = monotonicNow();
         if (!m_payload.empty() && m_onFrame) {
             // Copied because the handler may close the connection, which clears m_onFrame.
@@ -186,6 +211,7 @@
     std::uint64_t m_bytesSent = 0;
     Instant m_lastReceived {};
     Instant m_lastSent {};
+    bool m_receivingPayload = false;
     bool m_writing = false;
     bool m_closed = false;
 };
@@ -208,6 +234,14 @@
                    std::function<void(std::shared_ptr<FrameConnection>)> onConnected,
                    std::function<void(ConnectFailure)> onFailure)
 {
+    boost::system::error_code invalidAddress;
+    const auto address = asio::ip::make_address(peer.address, invalidAddress);
+    if (invalidAddress) {
+        // Addresses come from messages of other hosts.
+        asio::post(context,
+                   [onFailure = std::move(onFailure)] { onFailure(ConnectFailure::Unreachable); });
+        return;
+    }
     auto attempt = std::make_shared<ConnectAttempt>(context);
     attempt->timer.expires_after(options.connectTimeout);
     attempt->timer.async_wait([attempt](boost::system::error_code ec) {
@@ -215,7 +249,7 @@
         if (!ec)
             attempt->socket.close(ignored);
     });
-    const tcp::endpoint remote(asio::ip::make_address(peer.address), peer.port);
+    const tcp::endpoint remote(address, peer.port);
     attempt->socket.async_connect(remote,
                                   [attempt, options, onConnected = std::move(onConnected),
                                    onFailure = std::move(onFailure)](boost::system::error_code ec) {
--- a/packages/transport/ggv/transport/net/frame_connection.hpp
+++ b/packages/transport/ggv/transport/net/frame_connection.hpp
@@ -44,6 +44,8 @@
     virtual void send(Bytes payload) = 0;
     //! Closes the connection without calling onClosed.
     virtual void close() = 0;
+    //! @return True while a frame has arrived partly and the rest keeps arriving.
+    [[nodiscard]] virtual bool isReceivingFrame() const noexcept = 0;
     //! @return Total number of bytes sent, including frame headers.
     [[nodiscard]] virtual std::uint64_t bytesSent() const noexcept = 0;
 };
--- a/packages/transport/test/net/frame_connection_test.cpp
+++ b/packages/transport/test/net/frame_connection_test.cpp
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(oversizedFrameClosesTheConnection);
     CPPUNIT_TEST(connectionToSilentPeerIsClosed);
     CPPUNIT_TEST(keepAliveFramesKeepAnIdleConnectionOpen);
+    CPPUNIT_TEST(slowFrameIsNoSilence);
+    CPPUNIT_TEST(invalidAddressIsUnreachable);
     CPPUNIT_TEST(truncatedFrameIsNeverDelivered);
     CPPUNIT_TEST(sendQueueToSlowReaderIsBounded);
     CPPUNIT_TEST(refusedConnectIsDistinguishedFromUnreachable);
@@ -115,6 +117,36 @@
         CPPUNIT_ASSERT(m_outgoing.connection->bytesSent() > 0);
     }
 
+    // A large message on a busy link: parts arrive for longer than the silence timeout.
+    void slowFrameIsNoSilence()
+    {
+        auto peer = openRawPeer();
+        constexpr std::size_t Parts = 12;
+        const std::string header("\0\0\0\x0c", 4);
+        peer.send(header);
+        for (std::size_t n = 0; n < Parts; ++n) {
+            const auto next = monotonicNow() + shortTimeoutOptions().silenceTimeout / 4;
+            runUntil([&] { return monotonicNow() > next; });
+            CPPUNIT_ASSERT(n == 0 || m_accepted.connection->isReceivingFrame());
+            peer.send("x");
+        }
+        runUntil([&] { return !m_accepted.frames.empty() || m_accepted.closed; });
+        CPPUNIT_ASSERT(!m_accepted.closed);
+        CPPUNIT_ASSERT_EQUAL(Parts, m_accepted.frames.front().size());
+        CPPUNIT_ASSERT(!m_accepted.connection->isReceivingFrame());
+    }
+
+    void invalidAddressIsUnreachable()
+    {
+        std::optional<ggv::ConnectFailure> failure;
+        ggv::connectFrames(
+            m_context, { "10.0.0.x", 7000 }, shortTimeoutOptions(),
+            [](const std::shared_ptr<FrameConnection> &) {},
+            [&failure](ggv::ConnectFailure it) { failure = it; });
+        runUntil([&] { return failure.has_value(); });
+        CPPUNIT_ASSERT(failure == ggv::ConnectFailure::Unreachable);
+    }
+
     void truncatedFrameIsNeverDelivered()
     {
         auto peer = openRawPeer();
