Start each cold period without tokens of an earlier one

A domain's second evacuation ended; the token buckets of its cold targets still counted the time since the first one, so that each of 57 hosts had a token at once: 18 to 23 requests in a second where 15.6 are allowed. A new cold period empties the bucket.

Test: TargetPoolTest::laterColdPeriodStartsWithoutTokens (fails without the change).

--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -131,8 +131,12 @@
 {
     if (coldDuration <= Duration(0))
         return;
-    if (now >= target.m_coldUntil)
+    if (now >= target.m_coldUntil) {
         notifyObserver(target, TargetStatus::Cold, source, age, coldDuration);
+        // Tokens left from an earlier period would be spent by all hosts at once.
+        target.m_coldTokens = 0.0;
+        target.m_coldRefilledAt = now;
+    }
     target.m_coldUntil = std::max(target.m_coldUntil, now + coldDuration);
 }
 
--- a/packages/state/test/routing/target_pool_test.cpp
+++ b/packages/state/test/routing/target_pool_test.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(onlyListedRegionsServeARoute);
     CPPUNIT_TEST(coldTargetsGetTheirShareOfTheRate);
     CPPUNIT_TEST(rateIsBoundedAtTheEndOfTheColdPeriod);
+    CPPUNIT_TEST(laterColdPeriodStartsWithoutTokens);
     CPPUNIT_TEST(failingTargetsAreExcludedUnlessMostFail);
     CPPUNIT_TEST(triedTargetsAreNotChosenAgain);
     CPPUNIT_TEST(unchangedColdDurationIsNotExtended);
@@ -366,6 +367,22 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= 12);
     }
 
+    // A failure domain is evacuated and returns twice: with 50 hosts, one token left over at each
+    // of them would be several times the rate of the target.
+    void laterColdPeriodStartsWithoutTokens()
+    {
+        m_pool->setEntryHosts(50);
+        m_route.allowedRegions = { RegionName("north") };
+        for (int n = 0; n < 2; ++n) {
+            m_pool->setEvacuated({ FailureDomainName("a"), FailureDomainName("b") }, m_now);
+            m_now += seconds(10);
+            m_pool->setEvacuated({}, m_now);
+            CPPUNIT_ASSERT(!choose(1).target);
+            m_now += seconds(10);
+            (void)serve(1);
+        }
+    }
+
     void failingTargetsAreExcludedUnlessMostFail()
     {
         const auto preferred = serve(7);
