Measure what entry hosts are sent and how old their state is

Change: control hosts count the bytes of configurations and target lists sent to entry hosts and show the longest send queue; the line configuration-in-force has the document's bytes and the state's age.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -372,13 +372,18 @@
         if (session.sentRevision != state.revision)
             feed.configuration = state.configuration;
         session.sentRevision = state.revision;
-        session.connection->send(encodeFleetMessage(feed));
+        Bytes bytes = encodeFleetMessage(feed);
+        if (feed.configuration)
+            m_configurationBytes += bytes.size();
+        session.connection->send(std::move(bytes));
         sendList(session, now);
     }
 
     void sendList(Session &session, Instant now)
     {
-        session.connection->send(encodeFleetMessage(m_list.report(session.sentDigest, now)));
+        Bytes bytes = encodeFleetMessage(m_list.report(session.sentDigest, now));
+        m_listBytes += bytes.size();
+        session.connection->send(std::move(bytes));
         session.sentDigest = m_list.digest();
     }
 
@@ -467,6 +472,11 @@
         gauges.commitIndex = status.commitIndex;
         gauges.entryHosts = m_directory.alive(HostRole::Entry, now).size();
         gauges.listAge = m_list.age(now);
+        gauges.configurationBytes = m_configurationBytes;
+        gauges.listBytes = m_listBytes;
+        for (const auto &[id, session] : m_sessions)
+            gauges.maxQueuedBytes
+                = std::max(gauges.maxQueuedBytes, session.connection->queuedBytes());
         return gauges;
     }
 
@@ -541,6 +551,8 @@
     SharedTargetList m_list;
     TargetStateRelay m_stateRelay;
     RandomSource m_random;
+    std::uint64_t m_configurationBytes = 0; //!< Sent to entry hosts since the start.
+    std::uint64_t m_listBytes = 0; //!< Sent to entry hosts since the start.
     Instant m_hostObservationsSentAt = Instant(Duration(0));
     Instant m_lastListReadAt = Instant(Duration(0));
     Instant m_leaderSince {};
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -135,7 +135,9 @@
             logEvent(LogLevel::Info, "configuration-in-force",
                      { { "version", routes->version() },
                        { "revision", feed.revision },
-                       { "routes", routes->rules().routes.size() } });
+                       { "routes", routes->rules().routes.size() },
+                       { "bytes", feed.configuration->size() },
+                       { "state_age_ms", m_context.stateAge().count() / 1000 } });
             m_context.setRoutes(std::move(routes));
         } catch (const Error &error) {
             logEvent(LogLevel::Error, "configuration-unreadable",
--- a/packages/transport/ggv/transport/net/frame_connection.cpp
+++ b/packages/transport/ggv/transport/net/frame_connection.cpp
@@ -68,6 +68,7 @@
         m_timer.cancel();
     }
 
+    std::size_t queuedBytes() const noexcept override { return m_queuedBytes; }
     std::uint64_t bytesSent() const noexcept override { return m_bytesSent; }
 
     bool isReceivingFrame() const noexcept override
