Close the connections of the fake control host that a test ends

Cause: EntryLinkTest's ScriptedControlHost left its connections open when it was destroyed; their handlers read its freed feed. ignoresOlderState passed or failed by what the freed memory held. Change: the fake closes its connections, as a stopped control host does; the assertions are unchanged.

--- a/packages/coordination/test/fleet/entry_link_test.cpp
+++ b/packages/coordination/test/fleet/entry_link_test.cpp
@@ -27,6 +27,12 @@
               [this](const std::shared_ptr<FrameConnection> &connection) { accept(connection); })
     { }
 
+    ~ScriptedControlHost()
+    {
+        for (const auto &it : m_connections)
+            it->close();
+    }
+
     Endpoint endpoint() const { return { "127.0.0.1", m_listener.port() }; }
     std::size_t connections() const { return m_connections.size(); }
 
