Do not answer 404 from routes that are known to be outdated

Cause: a feed carried the whole document, so an entry host heard of a new version only once all of it had arrived, and took a route that its old table lacks for one that does not exist. Change: a feed announces the newest accepted version, the document follows in a message of its own. While a newer version is announced, or no control host has confirmed the state for 1 s, a request without a route waits for the newest table, at most a third of its time and 1 s, then gets 503 with Retry-After. Class of fault: a missing entry in state that may be old was taken for a definite answer. Why it works: a 404 is given only by the newest version that a control host confirmed within the last second.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -10,6 +10,7 @@
 #include <ggv/coordination/fleet/target_state_relay.hpp>
 #include <ggv/coordination/node/host_identity.hpp>
 #include <ggv/coordination/quorum/quorum.hpp>
+#include <ggv/protocol/codec/document_digest.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/state/core/random_source.hpp>
 #include <ggv/state/log/event_log.hpp>
@@ -50,6 +51,7 @@
     std::shared_ptr<FrameConnection> connection;
     std::optional<HostReport> report; //!< Latest report received.
     std::uint64_t sentRevision = 0;
+    std::uint64_t sentVersion = 0; //!< Version of the configuration last sent or reported.
     std::uint64_t sentDigest = 0;
 };
 
@@ -273,7 +275,7 @@
         if (m_directory.observe({ report.host, Duration(0) }, monotonicNow()))
             onHostChanged(report.host);
         if (isNew)
-            session.sentRevision = report.revision;
+            session.sentVersion = report.version;
         session.sentDigest = report.listDigest;
         if (report.host.role == HostRole::Entry)
             sendFeed(session);
@@ -308,6 +310,8 @@
 
     void handle(Session &, const FleetFeed &) { }
 
+    void handle(Session &, const DocumentUpdate &) { }
+
     void handle(Session &session, const TargetStateReports &reports)
     {
         const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
@@ -366,19 +370,29 @@
         FleetFeed feed;
         feed.current = followsConfirmedLeader() && state.version > 0;
         feed.revision = state.revision;
+        feed.version = state.version;
         feed.evacuated = state.evacuated;
         feed.entryHosts = static_cast<std::uint32_t>(m_directory.known(HostRole::Entry).size());
         feed.controlHosts = m_directory.alive(HostRole::Control, now);
-        if (session.sentRevision != state.revision)
-            feed.configuration = state.configuration;
         session.sentRevision = state.revision;
-        Bytes bytes = encodeFleetMessage(feed);
-        if (feed.configuration)
-            m_configurationBytes += bytes.size();
-        session.connection->send(std::move(bytes));
+        session.connection->send(encodeFleetMessage(feed));
+        if (feed.current)
+            sendDocument(session);
         sendList(session, now);
     }
 
+    void sendDocument(Session &session)
+    {
+        const auto &state = m_stateMachine.state();
+        if (session.sentVersion >= state.version)
+            return;
+        session.sentVersion = state.version;
+        Bytes bytes = encodeFleetMessage(DocumentUpdate {
+            state.version, documentDigest(state.configuration), state.configuration });
+        m_configurationBytes += bytes.size();
+        session.connection->send(std::move(bytes));
+    }
+
     void sendList(Session &session, Instant now)
     {
         Bytes bytes = encodeFleetMessage(m_list.report(session.sentDigest, now));
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -180,7 +180,8 @@
     if (!m_connection)
         return;
     m_reportedAt = monotonicNow();
-    m_connection->send(encodeFleetMessage(HostReport { m_self, m_revision, m_list.digest() }));
+    m_connection->send(encodeFleetMessage(
+        HostReport { m_self, m_revision, m_list.digest(), m_document.version() }));
 }
 
 void EntryLink::sendStateReports()
@@ -201,6 +202,8 @@
             handle(*report);
         else if (const auto *stateReports = std::get_if<TargetStateReports>(&message))
             m_handlers.onStateReports(stateReports->targets);
+        else if (const auto *update = std::get_if<DocumentUpdate>(&message))
+            handle(*update);
     } catch (const std::exception &error) {
         disconnect(error.what());
     }
@@ -211,8 +214,6 @@
     m_peerIsBehind = !feed.current || feed.revision < m_revision;
     if (m_peerIsBehind)
         return;
-    if (feed.revision > m_revision && !feed.configuration)
-        return;
     m_revision = feed.revision;
     m_confirmedAt = monotonicNow();
     m_controlHosts = feed.controlHosts;
@@ -227,4 +228,12 @@
         m_handlers.onTargets(m_list.list(), m_list.age(monotonicNow()));
 }
 
+void EntryLink::handle(const DocumentUpdate &update)
+{
+    if (!m_document.apply(update))
+        return;
+    m_handlers.onConfiguration(m_document.version(), m_document.bytes());
+    sendReport();
+}
+
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ggv/coordination/fleet/received_document.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
 #include <ggv/protocol/message/fleet_message.hpp>
 #include <ggv/transport/net/frame_connection.hpp>
@@ -27,6 +28,8 @@
     struct Handlers
     {
         std::function<void(const FleetFeed &)> onFeed; //!< Revisions never decrease.
+        //! Called with each newer configuration document; may follow the feed that announces it.
+        std::function<void(std::uint64_t version, ByteView document)> onConfiguration;
         std::function<void(const TargetList &, Duration age)> onTargets; //!< Called on a change.
         //! Returns the state reports that this host made about targets since the last call.
         std::function<std::vector<TargetStateReport>()> takeStateReports
@@ -66,6 +69,7 @@
     void receive(ByteView bytes);
     void handle(const FleetFeed &feed);
     void handle(const TargetListReport &report);
+    void handle(const DocumentUpdate &update);
     [[nodiscard]] std::vector<Endpoint> candidateEndpoints() const;
     [[nodiscard]] Duration feedTimeout() const;
     [[nodiscard]] bool isReceivingState(Instant now) const;
@@ -78,6 +82,7 @@
     boost::asio::steady_timer m_timer;
     std::vector<HostAnnouncement> m_controlHosts;
     SharedTargetList m_list;
+    ReceivedDocument m_document;
     std::uint64_t m_revision = 0;
     std::shared_ptr<FrameConnection> m_connection;
     Endpoint m_peer;
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -91,6 +91,9 @@
         m_link = EntryLink::start(
             m_pool.context(0), m_setup.self, m_setup.seeds,
             { [this](const FleetFeed &feed) { apply(feed); },
+              [this](std::uint64_t version, ByteView document) {
+                  applyConfiguration(version, document);
+              },
               [this](const TargetList &list, Duration age) { apply(list, age); },
               [this] { return m_context.targets().takeStateReports(monotonicNow()); },
               [this](const std::vector<TargetStateReport> &reports) {
@@ -109,8 +112,7 @@
 
     void apply(const FleetFeed &feed)
     {
-        if (feed.configuration && feed.revision != m_revision)
-            applyConfiguration(feed);
+        m_context.setNewestVersion(feed.version);
         if (feed.entryHosts != m_entryHosts)
             logEvent(LogLevel::Info, "entry-hosts-changed",
                      { { "before", m_entryHosts }, { "alive", feed.entryHosts } });
@@ -126,23 +128,22 @@
         updateReady();
     }
 
-    void applyConfiguration(const FleetFeed &feed)
+    void applyConfiguration(std::uint64_t version, ByteView document)
     {
         try {
-            auto routes = std::make_shared<const RouteTable>(
-                m_setup.decodeConfiguration(*feed.configuration));
-            m_revision = feed.revision;
+            auto routes = std::make_shared<const RouteTable>(m_setup.decodeConfiguration(document));
             logEvent(LogLevel::Info, "configuration-in-force",
                      { { "version", routes->version() },
-                       { "revision", feed.revision },
+                       { "newest_version", m_context.newestVersion() },
                        { "routes", routes->rules().routes.size() },
-                       { "bytes", feed.configuration->size() },
+                       { "bytes", document.size() },
                        { "state_age_ms", m_context.stateAge().count() / 1000 } });
             m_context.setRoutes(std::move(routes));
         } catch (const Error &error) {
             logEvent(LogLevel::Error, "configuration-unreadable",
-                     { { "revision", feed.revision }, { "reason", error.what() } });
+                     { { "version", version }, { "reason", error.what() } });
         }
+        updateReady();
     }
 
     void apply(const TargetList &list, Duration age)
@@ -202,7 +203,6 @@
     std::unique_ptr<HttpServer> m_server;
     std::shared_ptr<EntryLink> m_link;
     std::set<FailureDomainName> m_evacuated;
-    std::uint64_t m_revision = 0;
     std::uint32_t m_entryHosts = 1;
     bool m_hasTargets = false;
     std::optional<Instant> m_shutdownStartedAt;
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -31,32 +31,53 @@
     , m_loop(loop)
 { }
 
-bool GatewayContext::hasRoutesAndTargets() const noexcept
+bool GatewayContext::hasRoutesAndTargets() const { return m_routes && m_targets.hasList(); }
+
+bool GatewayContext::areRoutesNewest() const
 {
-    return m_routes && m_targets.hasList();
+    return m_routes && m_routes->version() >= m_newestVersion && stateAge() <= MaxConfirmationAge;
 }
 
 boost::asio::awaitable<void> GatewayContext::waitForRoutes(Instant until)
 {
-    if (hasRoutesAndTargets() || monotonicNow() >= until)
+    co_await waitFor(&GatewayContext::hasRoutesAndTargets, until);
+}
+
+boost::asio::awaitable<void> GatewayContext::waitForNewestRoutes(Instant until)
+{
+    co_await waitFor(&GatewayContext::areRoutesNewest, until);
+}
+
+boost::asio::awaitable<void> GatewayContext::waitFor(Condition condition, Instant until)
+{
+    if ((this->*condition)() || monotonicNow() >= until)
         co_return;
-    // Shared: if the timer expires just before the routes arrive, this coroutine resumes after
-    // resumeWaitingRequests() has cleared the list.
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop);
-    timer->expires_after(until - monotonicNow());
-    m_waitingRequests.push_back(timer);
+    // Shared: if the timer expires just before the condition holds, this coroutine resumes after
+    // resumeWaitingRequests() has removed the request from the list.
+    const auto waiting = std::make_shared<WaitingRequest>(
+        WaitingRequest { condition, boost::asio::steady_timer(m_loop) });
+    waiting->timer.expires_after(until - monotonicNow());
+    m_waitingRequests.push_back(waiting);
     boost::system::error_code cancelledByUpdate;
-    co_await timer->async_wait(
+    co_await waiting->timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, cancelledByUpdate));
-    m_waitingRequests.remove(timer);
+    m_waitingRequests.remove(waiting);
 }
 
 void GatewayContext::resumeWaitingRequests()
 {
-    if (!hasRoutesAndTargets())
-        return;
-    for (const auto &timer : std::exchange(m_waitingRequests, {}))
-        timer->cancel();
+    std::erase_if(m_waitingRequests, [this](const std::shared_ptr<WaitingRequest> &it) {
+        const bool resumes = (this->*it->condition)();
+        if (resumes)
+            it->timer.cancel();
+        return resumes;
+    });
+}
+
+void GatewayContext::setNewestVersion(std::uint64_t version)
+{
+    m_newestVersion = std::max(m_newestVersion, version);
+    resumeWaitingRequests();
 }
 
 void GatewayContext::setTargets(const TargetList &list, Duration age)
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -38,6 +38,9 @@
 class GatewayContext
 {
 public:
+    //! Age of the last confirmation by a control host up to which no newer version is assumed.
+    static constexpr Duration MaxConfirmationAge = std::chrono::seconds(1);
+
     /**
      * @param loop Event loop of all requests.
      * @param topology Location of this host.
@@ -55,6 +58,16 @@
     }
     //! Waits until a route table and a target list are present, or until the given time.
     [[nodiscard]] boost::asio::awaitable<void> waitForRoutes(Instant until);
+    //! Waits until the routes in force are the newest, or until the given time.
+    [[nodiscard]] boost::asio::awaitable<void> waitForNewestRoutes(Instant until);
+    //! @return False if a newer configuration was accepted, or may have been because no control
+    //! host has confirmed the state for MaxConfirmationAge. A route that is missing then is no
+    //! reason to refuse a request for good.
+    [[nodiscard]] bool areRoutesNewest() const;
+    //! Sets the newest accepted version; its routes may still be on their way to this host.
+    void setNewestVersion(std::uint64_t version);
+    //! @return The newest accepted version.
+    [[nodiscard]] std::uint64_t newestVersion() const noexcept { return m_newestVersion; }
     //! Applies a newer target list of the platform, read @p age ago.
     void setTargets(const TargetList &list, Duration age);
     //! Puts a route table in force.
@@ -84,7 +97,17 @@
     [[nodiscard]] LogRateLimiter &logRateLimiter() noexcept { return m_logRateLimiter; }
 
 private:
-    [[nodiscard]] bool hasRoutesAndTargets() const noexcept;
+    using Condition = bool (GatewayContext::*)() const;
+
+    //! A request that waits for a condition.
+    struct WaitingRequest
+    {
+        Condition condition;
+        boost::asio::steady_timer timer;
+    };
+
+    [[nodiscard]] bool hasRoutesAndTargets() const;
+    [[nodiscard]] boost::asio::awaitable<void> waitFor(Condition condition, Instant until);
     void resumeWaitingRequests();
     [[nodiscard]] RetryBudget &budget(const ServiceName &service);
     [[nodiscard]] RetryBudgetPolicy budgetPolicy() const;
@@ -101,8 +124,8 @@
     GatewayMetrics m_metrics;
     LogRateLimiter m_logRateLimiter;
     boost::asio::io_context &m_loop;
-    std::list<std::shared_ptr<boost::asio::steady_timer>>
-        m_waitingRequests; //!< Timers of requests that wait for routes and targets.
+    std::list<std::shared_ptr<WaitingRequest>> m_waitingRequests;
+    std::uint64_t m_newestVersion = 0;
     Instant m_shutdownDeadline = Instant::max();
 };
 
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -22,10 +22,10 @@
 //! one can be replaced by a retry.
 constexpr std::size_t MaxBufferedAnswerBytes = 64UL * 1024;
 constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(5);
-//! Retry delay for callers of a host that has no configuration yet.
+//! Retry delay for callers of a host that has no configuration yet or an outdated one.
 constexpr Duration RetryAfterWithoutRoutes = std::chrono::milliseconds(400);
-//! A request waits for the first route table for at most its time-out divided by this value, and
-//! never longer than MaxRoutesWait.
+//! A request waits for the first or the newest route table for at most its time-out divided by this
+//! value, and never longer than MaxRoutesWait.
 constexpr int RoutesWaitDivisor = 3;
 constexpr Duration MaxRoutesWait = std::chrono::seconds(1);
 constexpr std::size_t ChunkBytes = 4UL * 1024;
@@ -40,6 +40,7 @@
 constexpr const char *LeavingValue = "1";
 // Values of the log field "reason".
 constexpr const char *NoConfiguration = "no-configuration";
+constexpr const char *RoutesOutdated = "routes-outdated";
 constexpr const char *HostLeaving = "host-leaving";
 constexpr const char *TargetsFull = "targets-full";
 constexpr const char *TargetsBackingOff = "targets-backing-off";
@@ -116,16 +117,17 @@
 
 asio::awaitable<void> GatewayRequest::serve()
 {
-    co_await m_context.waitForRoutes(m_startedAt + maxRoutesWait());
+    const Instant until = m_startedAt + maxRoutesWait();
+    co_await m_context.waitForRoutes(until);
     m_routes = m_context.routes();
     if (!m_routes) {
         co_await reject(StatusUnavailable, NoConfiguration);
         co_return;
     }
-    if (!selectRoute()) {
-        logCompletion(LogLevel::Warning, "request-refused", StatusNotFound, "no-route");
-        HttpAnswer answer = textAnswer(StatusNotFound, "no route\n");
-        co_await m_caller.answer(std::move(answer));
+    if (!selectRoute())
+        co_await waitForNewestRoutes();
+    if (m_route == nullptr && !selectRoute()) {
+        co_await rejectUnknownRoute();
         co_return;
     }
     if (m_deadline > m_context.shutdownDeadline()) {
@@ -137,7 +139,26 @@
     co_await forward();
 }
 
-// Maximum time that the request waits for the first route table after a start of this process.
+// Waits for a newer route table if a newer configuration was accepted.
+asio::awaitable<void> GatewayRequest::waitForNewestRoutes()
+{
+    const Instant until = m_startedAt + maxRoutesWait();
+    co_await m_context.waitForNewestRoutes(until);
+    m_routes = m_context.routes();
+}
+
+asio::awaitable<void> GatewayRequest::rejectUnknownRoute()
+{
+    if (!m_context.areRoutesNewest()) {
+        co_await reject(StatusUnavailable, RoutesOutdated);
+        co_return;
+    }
+    logCompletion(LogLevel::Warning, "request-refused", StatusNotFound, "no-route");
+    HttpAnswer answer = textAnswer(StatusNotFound, "no route\n");
+    co_await m_caller.answer(std::move(answer));
+}
+
+// Maximum time that the request waits for the first or the newest route table.
 Duration GatewayRequest::maxRoutesWait() const
 {
     const auto *text = findHeader(m_caller.head().headers, m_context.headers().deadline);
@@ -601,6 +622,7 @@
                { "sends", m_sendCount },
                { "may_have_run", m_mayHaveExecuted },
                { "version", m_routes ? m_routes->version() : 0 },
+               { "newest_version", m_context.newestVersion() },
                { "state_age_ms", m_context.stateAge().count() / 1000 },
                { "list_age_ms", m_context.listAge().count() / 1000 },
                { "lines_left_out", m_context.logRateLimiter().takeSuppressedLines() },
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -43,6 +43,8 @@
     };
 
     [[nodiscard]] Duration maxRoutesWait() const;
+    [[nodiscard]] boost::asio::awaitable<void> waitForNewestRoutes();
+    [[nodiscard]] boost::asio::awaitable<void> rejectUnknownRoute();
     [[nodiscard]] bool selectRoute();
     [[nodiscard]] Duration remainingTime() const;
     [[nodiscard]] boost::asio::awaitable<bool> receiveBody();
--- a/packages/coordination/test/fleet/control_host_test.cpp
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -68,7 +68,8 @@
             { ForeignMember, 2, ggv::AppendRequest { 1, 0, 0, 0, 0, { entry } } } },
         ggv::TargetListReport { 8, Duration(9), { { sampleTarget() } }, {} },
         ggv::TargetListReport { 8, Duration(9), {}, { { 7, { 0, 300 }, { sampleTarget() } } } },
-        ggv::TargetStateReports { { { "i-1", 20, true, Duration(300) } } }
+        ggv::TargetStateReports { { { "i-1", 20, true, Duration(300) } } },
+        ggv::DocumentUpdate { 7, 8, { 1, 2 } }
     };
 }
 
--- a/packages/coordination/test/fleet/entry_link_test.cpp
+++ b/packages/coordination/test/fleet/entry_link_test.cpp
@@ -55,7 +55,7 @@
     FleetFeed feed;
     feed.current = current;
     feed.revision = revision;
-    feed.configuration = ggv::Bytes { static_cast<std::uint8_t>(revision) };
+    feed.version = revision;
     return feed;
 }
 
@@ -115,7 +115,7 @@
         return EntryLink::start(
             m_context, {}, std::move(seeds),
             { [this](const FleetFeed &feed) { m_revisions.push_back(feed.revision); },
-              [](const ggv::TargetList &, Duration) {} });
+              [](std::uint64_t, ggv::ByteView) {}, [](const ggv::TargetList &, Duration) {} });
     }
 
     template <typename Condition>
--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -33,8 +33,8 @@
 template <>
 struct Fields<HostReport>
 {
-    static constexpr auto List
-        = std::tuple(&HostReport::host, &HostReport::revision, &HostReport::listDigest);
+    static constexpr auto List = std::tuple(&HostReport::host, &HostReport::revision,
+                                            &HostReport::listDigest, &HostReport::version);
 };
 
 template <>
@@ -80,10 +80,17 @@
 struct Fields<FleetFeed>
 {
     static constexpr auto List
-        = std::tuple(&FleetFeed::current, &FleetFeed::revision, &FleetFeed::configuration,
+        = std::tuple(&FleetFeed::current, &FleetFeed::revision, &FleetFeed::version,
                      &FleetFeed::evacuated, &FleetFeed::entryHosts, &FleetFeed::controlHosts);
 };
 
+template <>
+struct Fields<DocumentUpdate>
+{
+    static constexpr auto List
+        = std::tuple(&DocumentUpdate::version, &DocumentUpdate::digest, &DocumentUpdate::content);
+};
+
 template <>
 struct Fields<ChangeConfiguration>
 {
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -51,6 +51,7 @@
     HostAnnouncement host;
     std::uint64_t revision = 0; //!< Revision of the fleet state in force at the sender.
     std::uint64_t listDigest = 0; //!< Digest of the sender's target list.
+    std::uint64_t version = 0; //!< Version of the configuration that the sender holds.
 
     [[nodiscard]] auto operator<=>(const HostReport &) const = default;
 };
@@ -105,7 +106,7 @@
 {
     bool current = false; //!< True if the control host follows a leader confirmed by a majority.
     std::uint64_t revision = 0; //!< Log position of the newest accepted change.
-    std::optional<Bytes> configuration; //!< Operators' document; absent if the receiver has it.
+    std::uint64_t version = 0; //!< Newest accepted version of the configuration.
     std::vector<FailureDomainName> evacuated; //!< Domains whose targets receive no requests.
     std::uint32_t entryHosts = 1; //!< Recently seen entry hosts, including unreachable ones.
     std::vector<HostAnnouncement> controlHosts; //!< Live control hosts.
@@ -113,8 +114,18 @@
     [[nodiscard]] auto operator<=>(const FleetFeed &) const = default;
 };
 
+//! Operators' configuration document; sent after the feed that announces its version.
+struct DocumentUpdate
+{
+    std::uint64_t version = 0;
+    std::uint64_t digest = 0; //!< Digest of the document.
+    Bytes content;
+
+    [[nodiscard]] auto operator<=>(const DocumentUpdate &) const = default;
+};
+
 using FleetMessage = std::variant<HostReport, HostObservationReport, QuorumEnvelope,
-                                  TargetListReport, FleetFeed, TargetStateReports>;
+                                  TargetListReport, FleetFeed, TargetStateReports, DocumentUpdate>;
 
 //! Replaces the operators' configuration.
 struct ChangeConfiguration
--- a/packages/protocol/test/codec/fleet_codec_test.cpp
+++ b/packages/protocol/test/codec/fleet_codec_test.cpp
@@ -40,7 +40,7 @@
     ggv::FleetFeed feed;
     feed.current = true;
     feed.revision = 9;
-    feed.configuration = Bytes { 1, 2 };
+    feed.version = 7;
     feed.evacuated = { ggv::FailureDomainName("a") };
     feed.entryHosts = 4;
     feed.controlHosts = { sampleHost() };
@@ -52,6 +52,7 @@
                  8, Duration(9), {}, { { 7, { 0, 300 }, { sampleTarget() } } } },
              ggv::TargetListReport { 8, Duration(9), {}, {} },
              ggv::TargetStateReports { { { "i-1", 20, true, Duration(300) } } },
+             ggv::DocumentUpdate { 7, 8, { 1, 2 } },
              feed };
 }
 
--- a/packages/state/ggv/state/log/request_explanation.cpp
+++ b/packages/state/ggv/state/log/request_explanation.cpp
@@ -41,6 +41,9 @@
     Reason { "not-executed", "refused: targets refused it and no further attempt was allowed" },
     Reason { "no-configuration",
              "refused: this process had no configuration or no target list yet" },
+    Reason { "routes-outdated",
+             "refused: no route matched, but a newer configuration was on its way to this process, "
+             "or no control host had confirmed the state" },
     Reason { "host-leaving",
              "refused: this process was shutting down before the request could finish" },
     Reason { "no-route", "refused: no route of the configuration in force matches the request" },
