Send configurations as compressed differences, one at a time

Cause: each change sent the whole document (about 280 KB) to each entry host over a link of 2 Mbit/s that callers use too; a second change queued a second copy behind the first. Change: DocumentUpdate holds the document compressed by zstd with the receiver's version as prefix and a digest of the result; DocumentHistory keeps earlier documents, ReceivedDocument restores. An entry host reports what it holds; until then no further update is sent, versions in between are skipped. Why it works: a change costs what it changes, and nothing queues behind a slow receiver.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/coordination/fleet/completion_waiter.hpp>
 #include <ggv/coordination/fleet/control_metrics.hpp>
+#include <ggv/coordination/fleet/document_history.hpp>
 #include <ggv/coordination/fleet/fleet_directory.hpp>
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/coordination/fleet/fleet_state_machine.hpp>
@@ -10,7 +11,6 @@
 #include <ggv/coordination/fleet/target_state_relay.hpp>
 #include <ggv/coordination/node/host_identity.hpp>
 #include <ggv/coordination/quorum/quorum.hpp>
-#include <ggv/protocol/codec/document_digest.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/state/core/random_source.hpp>
 #include <ggv/state/log/event_log.hpp>
@@ -51,7 +51,7 @@
     std::shared_ptr<FrameConnection> connection;
     std::optional<HostReport> report; //!< Latest report received.
     std::uint64_t sentRevision = 0;
-    std::uint64_t sentVersion = 0; //!< Version of the configuration last sent or reported.
+    std::uint64_t sentVersion = 0; //!< Version of the configuration last sent.
     std::uint64_t sentDigest = 0;
 };
 
@@ -270,12 +270,9 @@
 
     void handle(Session &session, const HostReport &report)
     {
-        const bool isNew = !session.report;
         session.report = report;
         if (m_directory.observe({ report.host, Duration(0) }, monotonicNow()))
             onHostChanged(report.host);
-        if (isNew)
-            session.sentVersion = report.version;
         session.sentDigest = report.listDigest;
         if (report.host.role == HostRole::Entry)
             sendFeed(session);
@@ -367,6 +364,7 @@
     {
         const Instant now = monotonicNow();
         const auto &state = m_stateMachine.state();
+        m_documents.add(state.version, state.configuration);
         FleetFeed feed;
         feed.current = followsConfirmedLeader() && state.version > 0;
         feed.revision = state.revision;
@@ -381,14 +379,15 @@
         sendList(session, now);
     }
 
+    // Sends at most one update at a time: one that waited behind another would be outdated.
     void sendDocument(Session &session)
     {
-        const auto &state = m_stateMachine.state();
-        if (session.sentVersion >= state.version)
+        const std::uint64_t heldVersion = session.report->version;
+        const bool isInFlight = session.sentVersion > heldVersion;
+        if (isInFlight || heldVersion >= m_documents.version())
             return;
-        session.sentVersion = state.version;
-        Bytes bytes = encodeFleetMessage(DocumentUpdate {
-            state.version, documentDigest(state.configuration), state.configuration });
+        session.sentVersion = m_documents.version();
+        Bytes bytes = encodeFleetMessage(m_documents.updateFrom(heldVersion));
         m_configurationBytes += bytes.size();
         session.connection->send(std::move(bytes));
     }
@@ -563,6 +562,7 @@
     std::map<Endpoint, std::uint64_t> m_sentDigests; //!< Digest of the list last sent to or
                                                      //!< reported by each control host.
     SharedTargetList m_list;
+    DocumentHistory m_documents;
     TargetStateRelay m_stateRelay;
     RandomSource m_random;
     std::uint64_t m_configurationBytes = 0; //!< Sent to entry hosts since the start.
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -181,7 +181,7 @@
         return;
     m_reportedAt = monotonicNow();
     m_connection->send(encodeFleetMessage(
-        HostReport { m_self, m_revision, m_list.digest(), m_document.version() }));
+        HostReport { m_self, m_revision, m_list.digest(), m_document.heldVersion() }));
 }
 
 void EntryLink::sendStateReports()
@@ -232,7 +232,7 @@
 {
     if (!m_document.apply(update))
         return;
-    m_handlers.onConfiguration(m_document.version(), m_document.bytes());
+    m_handlers.onConfiguration(update.version, m_document.bytes());
     sendReport();
 }
 
--- a/packages/coordination/test/fleet/control_host_test.cpp
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -69,7 +69,7 @@
         ggv::TargetListReport { 8, Duration(9), { { sampleTarget() } }, {} },
         ggv::TargetListReport { 8, Duration(9), {}, { { 7, { 0, 300 }, { sampleTarget() } } } },
         ggv::TargetStateReports { { { "i-1", 20, true, Duration(300) } } },
-        ggv::DocumentUpdate { 7, 8, { 1, 2 } }
+        ggv::DocumentUpdate { 7, 6, 8, { 1, 2 } }
     };
 }
 
--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -87,8 +87,8 @@
 template <>
 struct Fields<DocumentUpdate>
 {
-    static constexpr auto List
-        = std::tuple(&DocumentUpdate::version, &DocumentUpdate::digest, &DocumentUpdate::content);
+    static constexpr auto List = std::tuple(&DocumentUpdate::version, &DocumentUpdate::baseVersion,
+                                            &DocumentUpdate::digest, &DocumentUpdate::content);
 };
 
 template <>
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -118,8 +118,9 @@
 struct DocumentUpdate
 {
     std::uint64_t version = 0;
+    std::uint64_t baseVersion = 0; //!< Version that the receiver must hold; 0 if it needs none.
     std::uint64_t digest = 0; //!< Digest of the document.
-    Bytes content;
+    Bytes content; //!< The document, compressed relative to the base version.
 
     [[nodiscard]] auto operator<=>(const DocumentUpdate &) const = default;
 };
--- a/packages/protocol/test/codec/fleet_codec_test.cpp
+++ b/packages/protocol/test/codec/fleet_codec_test.cpp
@@ -52,7 +52,7 @@
                  8, Duration(9), {}, { { 7, { 0, 300 }, { sampleTarget() } } } },
              ggv::TargetListReport { 8, Duration(9), {}, {} },
              ggv::TargetStateReports { { { "i-1", 20, true, Duration(300) } } },
-             ggv::DocumentUpdate { 7, 8, { 1, 2 } },
+             ggv::DocumentUpdate { 7, 6, 8, { 1, 2 } },
              feed };
 }
 
