Count the age of a confirmed state from the report that it answers

Cause, found by review: the age of the newest confirmed state was counted from the arrival of the feed, so that a feed that a full link had held up for seconds counted as fresh, and 404 was answered by it. A request that waited for its route was not woken by a newer table if a still newer version had been announced. Change: reports carry the sender's monotonic clock, feeds return it, and the state is as new as the report. Waiting requests look at every new route table. Tests: ConfigurationDistributionTest::requestIsServedOnceItsRouteArrives. A delayed feed alone has no test of its own yet.

--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -64,7 +64,7 @@
 
 void EntryLink::setSeeds(std::vector<Endpoint> seeds) { m_seeds = std::move(seeds); }
 
-Duration EntryLink::stateAge() const { return monotonicNow() - m_confirmedAt; }
+Duration EntryLink::stateAge() const { return monotonicNow() - m_currentAt; }
 
 Duration EntryLink::listAge() const { return m_list.age(monotonicNow()); }
 
@@ -180,8 +180,9 @@
     if (!m_connection)
         return;
     m_reportedAt = monotonicNow();
-    m_connection->send(encodeFleetMessage(
-        HostReport { m_self, m_revision, m_list.digest(), m_document.heldVersion() }));
+    m_connection->send(encodeFleetMessage(HostReport { m_self, m_revision, m_list.digest(),
+                                                       m_document.heldVersion(),
+                                                       m_reportedAt.time_since_epoch() }));
 }
 
 void EntryLink::sendStateReports()
@@ -216,6 +217,7 @@
         return;
     m_revision = feed.revision;
     m_confirmedAt = monotonicNow();
+    m_currentAt = std::max(m_currentAt, Instant(feed.reportSentAt));
     m_controlHosts = feed.controlHosts;
     if (m_confirmedAt - m_connectedAt > StableConnectionTime)
         m_failures = 0;
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -51,7 +51,8 @@
     void setReady(bool ready);
     //! Replaces the addresses to connect to when no announced control host is reachable.
     void setSeeds(std::vector<Endpoint> seeds);
-    //! @return Time since the last confirmed state, or since the start if none was received.
+    //! @return Time since the state known here was surely the newest, or since the start. A feed
+    //! that was delayed on its way proves nothing about the time after the report that it answers.
     [[nodiscard]] Duration stateAge() const;
     //! @return Time since the target list was read from the platform.
     [[nodiscard]] Duration listAge() const;
@@ -92,7 +93,8 @@
     Instant m_connectedAt = Instant(Duration(0));
     bool m_peerIsBehind = false; //!< The control host reports that it follows no confirmed leader,
                                  //!< or its state is older.
-    Instant m_confirmedAt = monotonicNow(); //!< Time of the last confirmed state, or of the start.
+    Instant m_confirmedAt = monotonicNow(); //!< Arrival of the last confirmed state, or the start.
+    Instant m_currentAt = m_confirmedAt; //!< Time at which the confirmed state was the newest.
 };
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -40,22 +40,25 @@
 
 boost::asio::awaitable<void> GatewayContext::waitForRoutes(Instant until)
 {
-    co_await waitFor(&GatewayContext::hasRoutesAndTargets, until);
+    Condition condition = [this] { return hasRoutesAndTargets(); };
+    co_await waitFor(std::move(condition), until);
 }
 
-boost::asio::awaitable<void> GatewayContext::waitForNewestRoutes(Instant until)
+boost::asio::awaitable<void>
+GatewayContext::waitForNewerRoutes(std::shared_ptr<const RouteTable> known, Instant until)
 {
-    co_await waitFor(&GatewayContext::areRoutesNewest, until);
+    Condition condition = [this, known] { return m_routes != known || areRoutesNewest(); };
+    co_await waitFor(std::move(condition), until);
 }
 
 boost::asio::awaitable<void> GatewayContext::waitFor(Condition condition, Instant until)
 {
-    if ((this->*condition)() || monotonicNow() >= until)
+    if (condition() || monotonicNow() >= until)
         co_return;
     // Shared: if the timer expires just before the condition holds, this coroutine resumes after
     // resumeWaitingRequests() has removed the request from the list.
     const auto waiting = std::make_shared<WaitingRequest>(
-        WaitingRequest { condition, boost::asio::steady_timer(m_loop) });
+        WaitingRequest { std::move(condition), boost::asio::steady_timer(m_loop) });
     waiting->timer.expires_after(until - monotonicNow());
     m_waitingRequests.push_back(waiting);
     boost::system::error_code cancelledByUpdate;
@@ -66,8 +69,8 @@
 
 void GatewayContext::resumeWaitingRequests()
 {
-    std::erase_if(m_waitingRequests, [this](const std::shared_ptr<WaitingRequest> &it) {
-        const bool resumes = (this->*it->condition)();
+    std::erase_if(m_waitingRequests, [](const std::shared_ptr<WaitingRequest> &it) {
+        const bool resumes = it->condition();
         if (resumes)
             it->timer.cancel();
         return resumes;
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -58,8 +58,10 @@
     }
     //! Waits until a route table and a target list are present, or until the given time.
     [[nodiscard]] boost::asio::awaitable<void> waitForRoutes(Instant until);
-    //! Waits until the routes in force are the newest, or until the given time.
-    [[nodiscard]] boost::asio::awaitable<void> waitForNewestRoutes(Instant until);
+    //! Waits until the routes in force are the newest or other than the known ones, or until the
+    //! given time.
+    [[nodiscard]] boost::asio::awaitable<void>
+    waitForNewerRoutes(std::shared_ptr<const RouteTable> known, Instant until);
     //! @return False if a newer configuration was accepted, or may have been because no control
     //! host has confirmed the state for MaxConfirmationAge. A route that is missing then is no
     //! reason to refuse a request for good.
@@ -97,7 +99,7 @@
     [[nodiscard]] LogRateLimiter &logRateLimiter() noexcept { return m_logRateLimiter; }
 
 private:
-    using Condition = bool (GatewayContext::*)() const;
+    using Condition = std::function<bool()>;
 
     //! A request that waits for a condition.
     struct WaitingRequest
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -124,9 +124,8 @@
         co_await reject(StatusUnavailable, NoConfiguration);
         co_return;
     }
-    if (!selectRoute())
-        co_await waitForNewestRoutes();
-    if (m_route == nullptr && !selectRoute()) {
+    co_await findRoute();
+    if (m_route == nullptr) {
         co_await rejectUnknownRoute();
         co_return;
     }
@@ -139,12 +138,14 @@
     co_await forward();
 }
 
-// Waits for a newer route table if a newer configuration was accepted.
-asio::awaitable<void> GatewayRequest::waitForNewestRoutes()
+// Selects the route; while none matches, waits for a newer route table if one was accepted.
+asio::awaitable<void> GatewayRequest::findRoute()
 {
     const Instant until = m_startedAt + maxRoutesWait();
-    co_await m_context.waitForNewestRoutes(until);
-    m_routes = m_context.routes();
+    while (!selectRoute() && !m_context.areRoutesNewest() && monotonicNow() < until) {
+        co_await m_context.waitForNewerRoutes(m_routes, until);
+        m_routes = m_context.routes();
+    }
 }
 
 asio::awaitable<void> GatewayRequest::rejectUnknownRoute()
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -43,7 +43,7 @@
     };
 
     [[nodiscard]] Duration maxRoutesWait() const;
-    [[nodiscard]] boost::asio::awaitable<void> waitForNewestRoutes();
+    [[nodiscard]] boost::asio::awaitable<void> findRoute();
     [[nodiscard]] boost::asio::awaitable<void> rejectUnknownRoute();
     [[nodiscard]] bool selectRoute();
     [[nodiscard]] Duration remainingTime() const;
