Announce whether an entry host reaches targets, and list forwarding peers in feeds

Cause: an entry host cut from all targets had no way to say so, nor to learn which hosts could serve its requests. Change: HostAnnouncement::reachesTargets and FleetFeed::forwardingPeers with their codec; the internal endpoint of an entry host is where others forward requests to. Result: FleetCodecTest::messagesRoundTrip failed while the codec lacked the fields; ggv_protocol_test 14 of 14 pass with them.

--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -18,10 +18,10 @@
 template <>
 struct Fields<HostAnnouncement>
 {
-    static constexpr auto List = std::tuple(&HostAnnouncement::name, &HostAnnouncement::role,
-                                            &HostAnnouncement::service, &HostAnnouncement::internal,
-                                            &HostAnnouncement::domain, &HostAnnouncement::region,
-                                            &HostAnnouncement::member, &HostAnnouncement::ready);
+    static constexpr auto List = std::tuple(
+        &HostAnnouncement::name, &HostAnnouncement::role, &HostAnnouncement::service,
+        &HostAnnouncement::internal, &HostAnnouncement::domain, &HostAnnouncement::region,
+        &HostAnnouncement::member, &HostAnnouncement::ready, &HostAnnouncement::reachesTargets);
 };
 
 template <>
@@ -79,9 +79,9 @@
 template <>
 struct Fields<FleetFeed>
 {
-    static constexpr auto List
-        = std::tuple(&FleetFeed::current, &FleetFeed::revision, &FleetFeed::configuration,
-                     &FleetFeed::evacuated, &FleetFeed::entryHosts, &FleetFeed::controlHosts);
+    static constexpr auto List = std::tuple(
+        &FleetFeed::current, &FleetFeed::revision, &FleetFeed::configuration, &FleetFeed::evacuated,
+        &FleetFeed::entryHosts, &FleetFeed::controlHosts, &FleetFeed::forwardingPeers);
 };
 
 template <>
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -27,11 +27,12 @@
     HostName name;
     HostRole role = HostRole::Entry;
     Endpoint service; //!< For callers on an entry host, for operators on a control host.
-    Endpoint internal; //!< For other hosts; set only by control hosts.
+    Endpoint internal; //!< For other hosts; on an entry host, for requests that they forward.
     FailureDomainName domain;
     RegionName region;
     MemberId member = 0; //!< Identity in the quorum; 0 if not a member.
     bool ready = false; //!< True if the host accepts new requests.
+    bool reachesTargets = true; //!< False if an entry host can connect to no target.
 
     [[nodiscard]] auto operator<=>(const HostAnnouncement &) const = default;
 };
@@ -109,6 +110,8 @@
     std::vector<FailureDomainName> evacuated; //!< Domains whose targets receive no requests.
     std::uint32_t entryHosts = 1; //!< Recently seen entry hosts, including unreachable ones.
     std::vector<HostAnnouncement> controlHosts; //!< Live control hosts.
+    //! Entry hosts to forward requests to; empty if the receiver reaches targets.
+    std::vector<HostAnnouncement> forwardingPeers;
 
     [[nodiscard]] auto operator<=>(const FleetFeed &) const = default;
 };
--- a/packages/protocol/test/codec/fleet_codec_test.cpp
+++ b/packages/protocol/test/codec/fleet_codec_test.cpp
@@ -21,7 +21,8 @@
              ggv::FailureDomainName("a"),
              ggv::RegionName("north"),
              17,
-             true };
+             true,
+             false };
 }
 
 ggv::ListedTarget sampleTarget()
@@ -44,6 +45,7 @@
     feed.evacuated = { ggv::FailureDomainName("a") };
     feed.entryHosts = 4;
     feed.controlHosts = { sampleHost() };
+    feed.forwardingPeers = { sampleHost() };
     return { ggv::HostReport { sampleHost(), 4, 5 },
              ggv::HostObservationReport { { { sampleHost(), Duration(12) } } },
              ggv::QuorumEnvelope { { 1, 2, ggv::VoteAnswer { 3, true, false } } },
