--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -621,9 +621,7 @@
 
 std::vector<HostAnnouncement> ControlHost::entryHosts() const
 {
-    auto hosts = m_implementation->m_directory.alive(HostRole::Entry, monotonicNow());
-    std::erase_if(hosts, [](const HostAnnouncement &it) { return !it.ready; });
-    return hosts;
+    return m_implementation->m_directory.alive(HostRole::Entry, monotonicNow());
 }
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/fleet/control_host.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.hpp
@@ -68,7 +68,7 @@
     [[nodiscard]] bool isConfirmedLeader() const;
     //! @return All metrics in the Prometheus text format.
     [[nodiscard]] std::string metricsText() const;
-    //! @return Entry hosts that are alive and accept new requests.
+    //! @return Live entry hosts, ordered by name.
     [[nodiscard]] std::vector<HostAnnouncement> entryHosts() const;
 
 private:
