Report at once whether an entry host reaches targets

Cause: a host cut from all targets must not stay in look-ups until its next periodic report. Change: EntryLink::setReachesTargets() sends a report on a change and keeps it for the next control host; the gateway passes it on. The scripted control host of the test now closes its connections when it is destroyed: they outlived it and used its freed members.

--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -62,6 +62,14 @@
     sendReport();
 }
 
+void EntryLink::setReachesTargets(bool reachesTargets)
+{
+    if (m_self.reachesTargets == reachesTargets)
+        return;
+    m_self.reachesTargets = reachesTargets;
+    sendReport();
+}
+
 void EntryLink::setSeeds(std::vector<Endpoint> seeds) { m_seeds = std::move(seeds); }
 
 Duration EntryLink::stateAge() const { return monotonicNow() - m_confirmedAt; }
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -46,6 +46,8 @@
 
     //! Reports to the control host whether this host accepts new requests.
     void setReady(bool ready);
+    //! Reports to the control host whether this host reaches targets.
+    void setReachesTargets(bool reachesTargets);
     //! Replaces the addresses to connect to when no announced control host is reachable.
     void setSeeds(std::vector<Endpoint> seeds);
     //! @return Time since the last confirmed state, or since the start if none was received.
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -182,6 +182,8 @@
         m_link->setReady(ready());
     }
 
+    void updateReachesTargets(bool reachesTargets) { m_link->setReachesTargets(reachesTargets); }
+
     bool continueShutdown()
     {
         const Duration passed = monotonicNow() - *m_shutdownStartedAt;
--- a/packages/coordination/test/fleet/entry_link_test.cpp
+++ b/packages/coordination/test/fleet/entry_link_test.cpp
@@ -27,19 +27,35 @@
               [this](const std::shared_ptr<FrameConnection> &connection) { accept(connection); })
     { }
 
+    ~ScriptedControlHost()
+    {
+        for (const auto &it : m_connections)
+            it->close();
+    }
+
+    ScriptedControlHost(const ScriptedControlHost &) = delete;
+    ScriptedControlHost &operator=(const ScriptedControlHost &) = delete;
+
     Endpoint endpoint() const { return { "127.0.0.1", m_listener.port() }; }
     std::size_t connections() const { return m_connections.size(); }
+    const std::vector<ggv::HostReport> &reports() const { return m_reports; }
 
 private:
     void accept(const std::shared_ptr<FrameConnection> &connection)
     {
         m_connections.push_back(connection);
-        connection->start([this, peer = connection.get()](
-                              ggv::ByteView) { peer->send(ggv::encodeFleetMessage(m_feed)); },
-                          [](const ggv::Error &) {});
+        connection->start(
+            [this, peer = connection.get()](ggv::ByteView bytes) {
+                const auto message = ggv::decodeFleetMessage(bytes);
+                if (const auto *report = std::get_if<ggv::HostReport>(&message))
+                    m_reports.push_back(*report);
+                peer->send(ggv::encodeFleetMessage(m_feed));
+            },
+            [](const ggv::Error &) {});
     }
 
     FleetFeed m_feed;
+    std::vector<ggv::HostReport> m_reports;
     std::list<std::shared_ptr<FrameConnection>> m_connections;
     ggv::FrameListener m_listener;
 };
@@ -59,6 +75,8 @@
     CPPUNIT_TEST(switchesAwayFromControlHostWithoutLeader);
     CPPUNIT_TEST(ignoresOlderState);
     CPPUNIT_TEST(skipsUnreachableControlHost);
+    CPPUNIT_TEST(changedReachOfTargetsIsReportedAtOnce);
+    CPPUNIT_TEST(reachOfTargetsIsReportedToTheNextControlHost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,7 +121,42 @@
         CPPUNIT_ASSERT(m_elapsed < seconds(1));
     }
 
+    void changedReachOfTargetsIsReportedAtOnce()
+    {
+        constexpr int Changes = 10;
+        ScriptedControlHost current(m_context, makeFeed(true, 5));
+        const auto link = start({ current.endpoint() });
+        runUntil([&] { return !current.reports().empty(); });
+        CPPUNIT_ASSERT(current.reports().back().host.reachesTargets);
+        Duration elapsed { 0 };
+        for (int n = 0; n < Changes; ++n) {
+            const bool reachesTargets = n % 2 != 0;
+            link->setReachesTargets(reachesTargets);
+            runUntil([&] { return isReported(current, reachesTargets); });
+            elapsed += std::chrono::duration_cast<Duration>(m_elapsed);
+        }
+        // Periodic reports would take four seconds.
+        CPPUNIT_ASSERT(elapsed < seconds(2));
+    }
+
+    void reachOfTargetsIsReportedToTheNextControlHost()
+    {
+        auto first = std::make_unique<ScriptedControlHost>(m_context, makeFeed(true, 5));
+        ScriptedControlHost second(m_context, makeFeed(true, 5));
+        const auto link = start({ first->endpoint(), second.endpoint() });
+        link->setReachesTargets(false);
+        runUntil([&] { return !first->reports().empty(); });
+        first.reset();
+        runUntil([&] { return !second.reports().empty(); });
+        CPPUNIT_ASSERT(!second.reports().front().host.reachesTargets);
+    }
+
 private:
+    static bool isReported(const ScriptedControlHost &host, bool reachesTargets)
+    {
+        return host.reports().back().host.reachesTargets == reachesTargets;
+    }
+
     std::shared_ptr<EntryLink> start(std::vector<Endpoint> seeds)
     {
         return EntryLink::start(
