Name forwarding peers to entry hosts that reach no target

Cause: a host cut from all targets did not learn who could serve its requests, and control hosts that it is not attached to went on naming it in look-ups for up to 0.4 s. Change: the feed of such a host, and of no other, lists its forwarding peers. A new or changed entry host is told to the other control hosts at once, alone; this holds for readiness, too.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -5,6 +5,7 @@
 #include <ggv/coordination/fleet/fleet_directory.hpp>
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/coordination/fleet/fleet_state_machine.hpp>
+#include <ggv/coordination/fleet/forwarding_peers.hpp>
 #include <ggv/coordination/fleet/membership_policy.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
 #include <ggv/coordination/fleet/target_state_relay.hpp>
@@ -320,10 +321,8 @@
     void forwardStateReports(Instant now)
     {
         const TargetStateReports forControl { m_stateRelay.takeForControl(now) };
-        if (!forControl.targets.empty()) {
-            for (const auto &peer : m_mesh.connected())
-                m_mesh.send(peer, forControl);
-        }
+        if (!forControl.targets.empty())
+            sendToControlHosts(forControl);
         const TargetStateReports forEntry { m_stateRelay.takeForEntry(now) };
         if (forEntry.targets.empty())
             return;
@@ -334,12 +333,21 @@
         }
     }
 
-    // Other control hosts learn of a new or changed one at once: they may need its vote.
+    // Other control hosts learn of a new or changed host at once: they may need a control host's
+    // vote, and name entry hosts in look-ups.
     void onHostChanged(const HostAnnouncement &host)
     {
         logHostSeen(host);
         if (host.role == HostRole::Control)
             m_hostObservationsSentAt = Instant(Duration(0));
+        else
+            sendToControlHosts(HostObservationReport { { { host, Duration(0) } } });
+    }
+
+    void sendToControlHosts(const FleetMessage &message)
+    {
+        for (const auto &peer : m_mesh.connected())
+            m_mesh.send(peer, message);
     }
 
     static void logHostSeen(const HostAnnouncement &host)
@@ -348,7 +356,8 @@
                  { { "host", host.name.text() },
                    { "address", host.service.address },
                    { "member", host.member },
-                   { "ready", host.ready } });
+                   { "ready", host.ready },
+                   { "reaches_targets", host.reachesTargets } });
     }
 
     bool followsConfirmedLeader() const
@@ -369,6 +378,9 @@
         feed.evacuated = state.evacuated;
         feed.entryHosts = static_cast<std::uint32_t>(m_directory.known(HostRole::Entry).size());
         feed.controlHosts = m_directory.alive(HostRole::Control, now);
+        if (!session.report->host.reachesTargets)
+            feed.forwardingPeers = selectForwardingPeers(session.report->host,
+                                                         m_directory.alive(HostRole::Entry, now));
         if (session.sentRevision != state.revision)
             feed.configuration = state.configuration;
         session.sentRevision = state.revision;
--- a/packages/coordination/test/fleet/control_host_test.cpp
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -1,4 +1,5 @@
 #include <ggv/coordination/fleet/control_host.hpp>
+#include <ggv/coordination/fleet/entry_host_selection.hpp>
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/coordination/fleet/target_list_reader.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
@@ -7,6 +8,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <filesystem>
+#include <map>
+#include <optional>
 #include <random>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +26,7 @@
 using std::chrono::seconds;
 
 constexpr ggv::MemberId ForeignMember = 77;
+constexpr std::size_t MaxLookUpResults = 64;
 
 class EmptyList : public ggv::TargetListReader
 {
@@ -72,10 +76,57 @@
     };
 }
 
+//! Control host that only records which hosts it is told of.
+class OtherControlHost
+{
+public:
+    OtherControlHost(boost::asio::io_context &context,
+                     std::map<ggv::HostName, ggv::HostAnnouncement> &observed)
+        : m_observed(observed)
+        , m_listener(
+              context, { "127.0.0.1", 0 }, ggv::fleetFrameOptions(),
+              [this](const std::shared_ptr<FrameConnection> &connection) { accept(connection); })
+    { }
+
+    ~OtherControlHost()
+    {
+        for (const auto &it : m_connections)
+            it->close();
+    }
+
+    OtherControlHost(const OtherControlHost &) = delete;
+    OtherControlHost &operator=(const OtherControlHost &) = delete;
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_listener.port() }; }
+
+private:
+    void accept(const std::shared_ptr<FrameConnection> &connection)
+    {
+        m_connections.push_back(connection);
+        connection->start([this](ggv::ByteView bytes) { record(ggv::decodeFleetMessage(bytes)); },
+                          [](const ggv::Error &) {});
+    }
+
+    void record(const FleetMessage &message)
+    {
+        const auto *report = std::get_if<ggv::HostObservationReport>(&message);
+        if (report == nullptr)
+            return;
+        for (const auto &it : report->hosts)
+            m_observed[it.host.name] = it.host;
+    }
+
+    std::map<ggv::HostName, ggv::HostAnnouncement> &m_observed;
+    std::vector<std::shared_ptr<FrameConnection>> m_connections;
+    ggv::FrameListener m_listener;
+};
+
 class ControlHostTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ControlHostTest);
     CPPUNIT_TEST(malformedMessagesCloseOnlyTheirConnection);
+    CPPUNIT_TEST(onlyHostWithoutTargetsGetsForwardingPeers);
+    CPPUNIT_TEST(changedReachOfTargetsIsToldToOtherControlHostsAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,7 +162,96 @@
         CPPUNIT_ASSERT(isAnswered());
     }
 
+    void onlyHostWithoutTargetsGetsForwardingPeers()
+    {
+        EntrySession first = openSession("entry-1");
+        EntrySession second = openSession("entry-2");
+        report(first);
+        report(second);
+        CPPUNIT_ASSERT((lookUp() == HostNames { "entry-1", "entry-2" }));
+
+        first.host.reachesTargets = false;
+        report(first);
+        report(second);
+        CPPUNIT_ASSERT(first.feed->forwardingPeers == std::vector { second.host });
+        CPPUNIT_ASSERT(second.feed->forwardingPeers.empty());
+        CPPUNIT_ASSERT(lookUp() == HostNames { "entry-2" });
+
+        first.host.reachesTargets = true;
+        report(first);
+        report(second);
+        CPPUNIT_ASSERT(first.feed->forwardingPeers.empty());
+        CPPUNIT_ASSERT(second.feed->forwardingPeers.empty());
+        CPPUNIT_ASSERT((lookUp() == HostNames { "entry-1", "entry-2" }));
+    }
+
+    // Each of them answers look-ups.
+    void changedReachOfTargetsIsToldToOtherControlHostsAtOnce()
+    {
+        constexpr int Changes = 10;
+        std::map<ggv::HostName, ggv::HostAnnouncement> observed;
+        OtherControlHost other(m_context, observed);
+        m_host->setSeeds({ m_endpoint, other.endpoint() });
+        EntrySession session = openSession("entry-1");
+        report(session);
+        runUntil([&] { return observed.contains(session.host.name); });
+        const auto startedAt = std::chrono::steady_clock::now();
+        for (int n = 0; n < Changes; ++n) {
+            session.host.reachesTargets = !session.host.reachesTargets;
+            report(session);
+            runUntil([&] { return observed[session.host.name] == session.host; });
+        }
+        // Periodic reports would take four seconds.
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt < seconds(2));
+        CPPUNIT_ASSERT(observed[session.host.name] == session.host);
+    }
+
 private:
+    using HostNames = std::vector<std::string>;
+
+    struct EntrySession
+    {
+        ggv::HostAnnouncement host;
+        std::shared_ptr<FrameConnection> connection;
+        std::shared_ptr<std::optional<ggv::FleetFeed>> received; //!< Latest feed.
+        std::optional<ggv::FleetFeed> feed; //!< Answer to the latest report.
+    };
+
+    EntrySession openSession(const char *name)
+    {
+        EntrySession session;
+        session.host = sampleHost(ggv::HostRole::Entry);
+        session.host.name = ggv::HostName(name);
+        session.host.member = 0;
+        session.received = std::make_shared<std::optional<ggv::FleetFeed>>();
+        session.connection = connect([received = session.received](ggv::ByteView bytes) {
+            const auto message = ggv::decodeFleetMessage(bytes);
+            if (const auto *feed = std::get_if<ggv::FleetFeed>(&message))
+                *received = *feed;
+        });
+        CPPUNIT_ASSERT(session.connection);
+        return session;
+    }
+
+    // Sends the session's announcement and waits for the feed in return.
+    void report(EntrySession &session)
+    {
+        session.received->reset();
+        session.connection->send(ggv::encodeFleetMessage(ggv::HostReport { session.host, 0, 0 }));
+        runUntil([&] { return session.received->has_value(); });
+        CPPUNIT_ASSERT(session.received->has_value());
+        session.feed = *session.received;
+    }
+
+    HostNames lookUp() const
+    {
+        HostNames names;
+        for (const auto &it : ggv::selectEntryHosts(m_host->entryHosts(), ggv::RegionName("north"),
+                                                    MaxLookUpResults))
+            names.push_back(it.name.text());
+        return names;
+    }
+
     Endpoint freeEndpoint()
     {
         const boost::asio::ip::tcp::acceptor acceptor(
@@ -120,7 +260,7 @@
     }
 
     // Opens a connection; returns null after a time-out.
-    std::shared_ptr<FrameConnection> connect(const std::function<void()> &onMessage)
+    std::shared_ptr<FrameConnection> connect(const std::function<void(ggv::ByteView)> &onMessage)
     {
         std::shared_ptr<FrameConnection> opened;
         ggv::connectFrames(
@@ -131,13 +271,13 @@
             [](ggv::ConnectFailure) {});
         runUntil([&opened] { return opened != nullptr; });
         if (opened)
-            opened->start([onMessage](ggv::ByteView) { onMessage(); }, [](const ggv::Error &) {});
+            opened->start(onMessage, [](const ggv::Error &) {});
         return opened;
     }
 
     void sendModifiedMessages(std::mt19937_64 &random)
     {
-        const auto connection = connect([] {});
+        const auto connection = connect([](ggv::ByteView) {});
         CPPUNIT_ASSERT(connection);
         // The sender is announced unchanged, so that its other messages are not ignored.
         connection->send(ggv::encodeFleetMessage(sampleMessages().front()));
@@ -158,7 +298,7 @@
     bool isAnswered()
     {
         bool answered = false;
-        const auto connection = connect([&answered] { answered = true; });
+        const auto connection = connect([&answered](ggv::ByteView) { answered = true; });
         CPPUNIT_ASSERT(connection);
         connection->send(
             ggv::encodeFleetMessage(ggv::HostReport { sampleHost(ggv::HostRole::Entry), 0, 0 }));
