--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -7,6 +7,7 @@
 #include <ggv/coordination/fleet/fleet_directory.hpp>
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/coordination/fleet/fleet_state_machine.hpp>
+#include <ggv/coordination/fleet/forwarding_peers.hpp>
 #include <ggv/coordination/fleet/membership_policy.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
 #include <ggv/coordination/fleet/target_state_relay.hpp>
@@ -324,10 +325,8 @@
     void forwardStateReports(Instant now)
     {
         const TargetStateReports forControl { m_stateRelay.takeForControl(now) };
-        if (!forControl.targets.empty()) {
-            for (const auto &peer : m_mesh.connected())
-                m_mesh.send(peer, forControl);
-        }
+        if (!forControl.targets.empty())
+            sendToControlHosts(forControl);
         const TargetStateReports forEntry { m_stateRelay.takeForEntry(now) };
         if (forEntry.targets.empty())
             return;
@@ -338,12 +337,21 @@
         }
     }
 
-    // Other control hosts learn of a new or changed one at once: they may need its vote.
+    // Other control hosts learn of a new or changed host at once: they may need a control host's
+    // vote, and name entry hosts in look-ups.
     void onHostChanged(const HostAnnouncement &host)
     {
         logHostSeen(host);
         if (host.role == HostRole::Control)
             m_hostObservationsSentAt = Instant(Duration(0));
+        else
+            sendToControlHosts(HostObservationReport { { { host, Duration(0) } } });
+    }
+
+    void sendToControlHosts(const FleetMessage &message)
+    {
+        for (const auto &peer : m_mesh.connected())
+            m_mesh.send(peer, message);
     }
 
     static void logHostSeen(const HostAnnouncement &host)
@@ -352,7 +360,8 @@
                  { { "host", host.name.text() },
                    { "address", host.service.address },
                    { "member", host.member },
-                   { "ready", host.ready } });
+                   { "ready", host.ready },
+                   { "reaches_targets", host.reachesTargets } });
     }
 
     bool followsConfirmedLeader() const
@@ -375,6 +384,9 @@
         feed.evacuated = state.evacuated;
         feed.entryHosts = static_cast<std::uint32_t>(m_directory.known(HostRole::Entry).size());
         feed.controlHosts = m_directory.alive(HostRole::Control, now);
+        if (!session.report->host.reachesTargets)
+            feed.forwardingPeers = selectForwardingPeers(session.report->host,
+                                                         m_directory.alive(HostRole::Entry, now));
         session.sentRevision = state.revision;
         session.connection->send(encodeFleetMessage(feed));
         if (feed.current)
@@ -651,9 +663,7 @@
 
 std::vector<HostAnnouncement> ControlHost::entryHosts() const
 {
-    auto hosts = m_implementation->m_directory.alive(HostRole::Entry, monotonicNow());
-    std::erase_if(hosts, [](const HostAnnouncement &it) { return !it.ready; });
-    return hosts;
+    return m_implementation->m_directory.alive(HostRole::Entry, monotonicNow());
 }
 
 } // namespace ggv
--- a/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
+++ b/packages/protocol/ggv/protocol/codec/detail/fleet_fields.hpp
@@ -18,10 +18,10 @@
 template <>
 struct Fields<HostAnnouncement>
 {
-    static constexpr auto List = std::tuple(&HostAnnouncement::name, &HostAnnouncement::role,
-                                            &HostAnnouncement::service, &HostAnnouncement::internal,
-                                            &HostAnnouncement::domain, &HostAnnouncement::region,
-                                            &HostAnnouncement::member, &HostAnnouncement::ready);
+    static constexpr auto List = std::tuple(
+        &HostAnnouncement::name, &HostAnnouncement::role, &HostAnnouncement::service,
+        &HostAnnouncement::internal, &HostAnnouncement::domain, &HostAnnouncement::region,
+        &HostAnnouncement::member, &HostAnnouncement::ready, &HostAnnouncement::reachesTargets);
 };
 
 template <>
@@ -80,9 +80,10 @@
 template <>
 struct Fields<FleetFeed>
 {
-    static constexpr auto List = std::tuple(
-        &FleetFeed::current, &FleetFeed::revision, &FleetFeed::version, &FleetFeed::reportSentAt,
-        &FleetFeed::evacuated, &FleetFeed::entryHosts, &FleetFeed::controlHosts);
+    static constexpr auto List
+        = std::tuple(&FleetFeed::current, &FleetFeed::revision, &FleetFeed::version,
+                     &FleetFeed::reportSentAt, &FleetFeed::evacuated, &FleetFeed::entryHosts,
+                     &FleetFeed::controlHosts, &FleetFeed::forwardingPeers);
 };
 
 template <>
