--- a/packages/state/ggv/state/routing/fwd.hpp
+++ b/packages/state/ggv/state/routing/fwd.hpp
@@ -12,5 +12,7 @@
 class DepartedTargets;
 class TargetBackoff;
 struct RetryDelay;
+struct ForwardingPeer;
+class ForwardingPeers;
 
 } // namespace ggv
