Add TargetPathMonitor: tells a host that is cut off from failed targets

Cause: an entry host that is cut off from all targets treats each failure as the fault of a single target, and so neither notices the cut nor recovers at once when it ends. Change: a pure state machine: failures at 3 targets of 2 failure domains in 5 s without a new connection raise a suspicion, probes decide it, one established connection ends it. At most one suspicion a second.

--- a/packages/state/ggv/state/health/fwd.hpp
+++ b/packages/state/ggv/state/health/fwd.hpp
@@ -9,6 +9,7 @@
 enum class TargetOutcome : std::uint8_t;
 struct HealthPolicy;
 class TargetHealth;
+class TargetPathMonitor;
 class ConnectionGeneration;
 
 } // namespace ggv
--- /dev/null
+++ b/packages/state/test/health/target_path_monitor_test.cpp
@@ -0,0 +1,303 @@
+#include <ggv/state/health/target_path_monitor.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace ggv;
+
+constexpr Instant Start { std::chrono::hours(1) };
+constexpr auto Second = Duration(std::chrono::seconds(1));
+constexpr auto Millisecond = Duration(std::chrono::milliseconds(1));
+constexpr std::size_t Domains = 3;
+constexpr std::size_t TargetsPerDomain = 4;
+
+FailureDomainName domainOf(std::size_t target)
+{
+    return FailureDomainName("d" + std::to_string(target % Domains));
+}
+
+//! Fails a connection to one of the targets; the number's remainder gives the failure domain.
+void fail(TargetPathMonitor &monitor, std::size_t target, Instant now)
+{
+    monitor.observeFailure("t" + std::to_string(target), domainOf(target), now);
+}
+
+TargetPathMonitor monitorOf(std::size_t domains)
+{
+    TargetPathMonitor monitor;
+    monitor.setDomains(domains);
+    return monitor;
+}
+
+TargetPathMonitor suspectedMonitor()
+{
+    auto monitor = monitorOf(Domains);
+    for (std::size_t n = 0; n < 3; ++n)
+        fail(monitor, n, Start);
+    return monitor;
+}
+
+TargetPathMonitor lostMonitor()
+{
+    auto monitor = suspectedMonitor();
+    monitor.observeProbes(false, Start);
+    return monitor;
+}
+
+struct Observation
+{
+    std::size_t target = 0;
+    bool isConnection = false;
+    Duration wait { 0 };
+};
+
+std::vector<Observation> randomObservations()
+{
+    return *rc::gen::container<std::vector<Observation>>(rc::gen::apply(
+        [](std::size_t target, int kind, int wait) {
+            return Observation { target, kind == 0, wait * 250 * Millisecond };
+        },
+        rc::gen::inRange<std::size_t>(0, Domains * TargetsPerDomain), rc::gen::inRange(0, 8),
+        rc::gen::inRange(0, 8)));
+}
+
+//! Reference: failures since the last connection that are recent at the time of the last one.
+bool expectsSuspicion(const std::vector<Observation> &observations)
+{
+    for (std::size_t end = 1; end <= observations.size(); ++end) {
+        std::set<std::size_t> targets;
+        std::set<FailureDomainName> domains;
+        Duration age { 0 };
+        for (std::size_t n = end; n-- > 0 && !observations[n].isConnection;) {
+            if (age > TargetPathMonitor::FailureWindow)
+                break;
+            targets.insert(observations[n].target);
+            domains.insert(domainOf(observations[n].target));
+            age += observations[n].wait;
+        }
+        if (targets.size() >= TargetPathMonitor::MinFailedTargets
+            && domains.size() >= TargetPathMonitor::MinFailedDomains)
+            return true;
+    }
+    return false;
+}
+
+class TargetPathMonitorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetPathMonitorTest);
+    CPPUNIT_TEST(cutWithHangingConnectionsIsLostWithinTwoSeconds);
+    CPPUNIT_TEST(cutWithRefusedConnectionsIsSuspectedAtOnce);
+    CPPUNIT_TEST(refusedNewConnectionsCountWhileOldOnesLiveOn);
+    CPPUNIT_TEST(lossOfOneFailureDomainIsNotSuspected);
+    CPPUNIT_TEST(lossOfFewTargetsIsNotSuspected);
+    CPPUNIT_TEST(failuresSpreadOverTimeAreNotSuspected);
+    CPPUNIT_TEST(connectionClearsEarlierFailures);
+    CPPUNIT_TEST(onlyListedFailureDomainSuffices);
+    CPPUNIT_TEST(withoutTargetsNothingIsSuspected);
+    CPPUNIT_TEST(oneEstablishedProbeRefutesTheSuspicion);
+    CPPUNIT_TEST(refutedSuspicionIsNotRaisedAgainAtOnce);
+    CPPUNIT_TEST(lostPathIsProbedPeriodically);
+    CPPUNIT_TEST(oneConnectionEndsTheLoss);
+    CPPUNIT_TEST(lateResultOfProbesDoesNotCloseThePath);
+    CPPUNIT_TEST(suspicionMatchesTheReference);
+    CPPUNIT_TEST(onlyProbesLoseThePath);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Connections hang until the kernel or the connect time-out gives up.
+    void cutWithHangingConnectionsIsLostWithinTwoSeconds()
+    {
+        auto monitor = monitorOf(Domains);
+        fail(monitor, 0, Start + 400 * Millisecond);
+        fail(monitor, 3, Start + 800 * Millisecond);
+        fail(monitor, 0, Start + 1000 * Millisecond);
+        CPPUNIT_ASSERT(monitor.isOpen());
+        fail(monitor, 1, Start + 1200 * Millisecond);
+        CPPUNIT_ASSERT(monitor.state() == TargetPathState::Suspected);
+        CPPUNIT_ASSERT(monitor.isProbeDue(Start + 1200 * Millisecond));
+        monitor.observeProbes(false, Start + 1600 * Millisecond);
+        CPPUNIT_ASSERT(monitor.isLost());
+    }
+
+    void cutWithRefusedConnectionsIsSuspectedAtOnce()
+    {
+        const auto monitor = suspectedMonitor();
+        CPPUNIT_ASSERT(monitor.state() == TargetPathState::Suspected);
+        CPPUNIT_ASSERT(!monitor.isLost());
+        CPPUNIT_ASSERT(monitor.isProbeDue(Start));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, monitor.failedTargets());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, monitor.failedDomains());
+        CPPUNIT_ASSERT(monitor.evidenceSince() < Start);
+    }
+
+    // Answers on old connections are not observed, so failures one second apart must suffice.
+    void refusedNewConnectionsCountWhileOldOnesLiveOn()
+    {
+        auto monitor = monitorOf(Domains);
+        for (std::size_t n = 0; n < 3; ++n)
+            fail(monitor, n, Start + static_cast<int>(n) * Second);
+        CPPUNIT_ASSERT(monitor.state() == TargetPathState::Suspected);
+    }
+
+    void lossOfOneFailureDomainIsNotSuspected()
+    {
+        auto monitor = monitorOf(Domains);
+        for (std::size_t n = 0; n < TargetsPerDomain; ++n)
+            fail(monitor, n * Domains, Start);
+        CPPUNIT_ASSERT(monitor.isOpen());
+        CPPUNIT_ASSERT(!monitor.isProbeDue(Start));
+    }
+
+    void lossOfFewTargetsIsNotSuspected()
+    {
+        auto monitor = monitorOf(Domains);
+        for (int n = 0; n < 10; ++n) {
+            fail(monitor, 0, Start);
+            fail(monitor, 1, Start);
+        }
+        CPPUNIT_ASSERT(monitor.isOpen());
+    }
+
+    void failuresSpreadOverTimeAreNotSuspected()
+    {
+        auto monitor = monitorOf(Domains);
+        Instant now = Start;
+        for (std::size_t n = 0; n < Domains * TargetsPerDomain; ++n) {
+            fail(monitor, n, now);
+            now += TargetPathMonitor::FailureWindow / 2 + Millisecond;
+        }
+        CPPUNIT_ASSERT(monitor.isOpen());
+    }
+
+    void connectionClearsEarlierFailures()
+    {
+        auto monitor = monitorOf(Domains);
+        fail(monitor, 0, Start);
+        fail(monitor, 1, Start);
+        monitor.observeConnection(Start);
+        fail(monitor, 2, Start);
+        CPPUNIT_ASSERT(monitor.isOpen());
+    }
+
+    void onlyListedFailureDomainSuffices()
+    {
+        auto monitor = monitorOf(1);
+        for (std::size_t n = 0; n < 3; ++n)
+            fail(monitor, n * Domains, Start);
+        CPPUNIT_ASSERT(monitor.state() == TargetPathState::Suspected);
+    }
+
+    void withoutTargetsNothingIsSuspected()
+    {
+        auto monitor = lostMonitor();
+        monitor.setDomains(0);
+        CPPUNIT_ASSERT(monitor.isOpen());
+        for (std::size_t n = 0; n < 3; ++n)
+            fail(monitor, n, Start);
+        CPPUNIT_ASSERT(monitor.isOpen());
+    }
+
+    void oneEstablishedProbeRefutesTheSuspicion()
+    {
+        auto monitor = suspectedMonitor();
+        monitor.observeProbes(true, Start);
+        CPPUNIT_ASSERT(monitor.isOpen());
+        CPPUNIT_ASSERT(!monitor.isProbeDue(Start + Second));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, monitor.failedTargets());
+    }
+
+    // Many targets that are overloaded in several failure domains must not cause probes without
+    // end.
+    void refutedSuspicionIsNotRaisedAgainAtOnce()
+    {
+        auto monitor = suspectedMonitor();
+        monitor.observeProbes(true, Start);
+        for (std::size_t n = 0; n < 3; ++n)
+            fail(monitor, n, Start + Millisecond);
+        CPPUNIT_ASSERT(monitor.isOpen());
+        fail(monitor, 0, Start + TargetPathMonitor::MinTimeBetweenSuspicions);
+        CPPUNIT_ASSERT(monitor.state() == TargetPathState::Suspected);
+    }
+
+    void lostPathIsProbedPeriodically()
+    {
+        auto monitor = lostMonitor();
+        Instant now = Start;
+        for (int n = 0; n < 10; ++n) {
+            const Instant dueAt = now + TargetPathMonitor::ProbeInterval;
+            CPPUNIT_ASSERT(!monitor.isProbeDue(dueAt - Duration(1)));
+            CPPUNIT_ASSERT(monitor.isProbeDue(dueAt));
+            now = dueAt;
+            monitor.observeProbes(false, now);
+            CPPUNIT_ASSERT(monitor.isLost());
+        }
+    }
+
+    void oneConnectionEndsTheLoss()
+    {
+        auto probed = lostMonitor();
+        probed.observeProbes(true, Start + Second);
+        CPPUNIT_ASSERT(probed.isOpen());
+        auto connected = lostMonitor();
+        connected.observeConnection(Start + Second);
+        CPPUNIT_ASSERT(connected.isOpen());
+        CPPUNIT_ASSERT(!connected.isProbeDue(Start + 2 * Second));
+    }
+
+    void lateResultOfProbesDoesNotCloseThePath()
+    {
+        auto monitor = suspectedMonitor();
+        monitor.observeConnection(Start);
+        monitor.observeProbes(false, Start + 400 * Millisecond);
+        CPPUNIT_ASSERT(monitor.isOpen());
+    }
+
+    void suspicionMatchesTheReference()
+    {
+        CPPUNIT_ASSERT(rc::check("suspected iff enough recent failures without a connection", [] {
+            const auto observations = randomObservations();
+            auto monitor = monitorOf(Domains);
+            Instant now = Start;
+            bool wasSuspected = false;
+            for (const auto &it : observations) {
+                now += it.wait;
+                if (it.isConnection)
+                    monitor.observeConnection(now);
+                else
+                    fail(monitor, it.target, now);
+                wasSuspected = !monitor.isOpen();
+                if (wasSuspected)
+                    break;
+            }
+            RC_ASSERT(wasSuspected == expectsSuspicion(observations));
+        }));
+    }
+
+    void onlyProbesLoseThePath()
+    {
+        CPPUNIT_ASSERT(rc::check("failures alone never lose the path", [] {
+            auto monitor = monitorOf(Domains);
+            Instant now = Start;
+            for (const auto &it : randomObservations()) {
+                now += it.wait;
+                if (it.isConnection)
+                    monitor.observeConnection(now);
+                else
+                    fail(monitor, it.target, now);
+                RC_ASSERT(!monitor.isLost());
+                RC_ASSERT(!it.isConnection || monitor.isOpen());
+                RC_ASSERT(monitor.isOpen() != monitor.isProbeDue(now));
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetPathMonitorTest);
+
+} // namespace
