Forward requests through peers while no target is reachable

Callers of an entry host that was cut off from all targets got 503 or a time-out for as long as they kept its address. Cause: a request could only be sent to a target by the host that received it. Change: while the target path is lost, or suspected after a failed connection, GatewayRequest sends the request to a forwarding peer. A peer never forwards again. Without a peer, 503 follows at once.

--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -6,6 +6,8 @@
 #include <ggv/state/admission/memory_budget.hpp>
 #include <ggv/state/admission/retry_budget.hpp>
 #include <ggv/state/core/random_source.hpp>
+#include <ggv/state/health/target_path_monitor.hpp>
+#include <ggv/state/routing/forwarding_peers.hpp>
 #include <ggv/state/routing/route_table.hpp>
 #include <ggv/state/routing/target_pool.hpp>
 #include <ggv/transport/http/http_client.hpp>
@@ -71,6 +73,9 @@
     [[nodiscard]] bool tryRetry(const ServiceName &service, Instant now);
 
     [[nodiscard]] TargetPool &targets() noexcept { return m_targets; }
+    //! @return Peers that serve requests while this host reaches no target.
+    [[nodiscard]] ForwardingPeers &forwardingPeers() noexcept { return m_forwardingPeers; }
+    [[nodiscard]] TargetPathMonitor &targetPath() noexcept { return m_targetPath; }
     [[nodiscard]] HttpClientPool &connections() noexcept { return m_connections; }
     [[nodiscard]] const MemoryBudget &bodyMemory() const noexcept { return m_bodyMemory; }
     [[nodiscard]] RandomSource &random() noexcept { return m_random; }
@@ -92,6 +97,8 @@
     ForwardingHeaders m_headers;
     RetryPolicy m_retryPolicy;
     TargetPool m_targets;
+    TargetPathMonitor m_targetPath;
+    ForwardingPeers m_forwardingPeers;
     HttpClientPool m_connections;
     MemoryBudget m_bodyMemory;
     RandomSource m_random;
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
@@ -44,6 +44,11 @@
               .Name("ggv_gateway_attempt_seconds")
               .Help("Time of attempts at targets, by how they ended")
               .Register(m_registry);
+    prometheus::Family<prometheus::Counter> &m_forwarded
+        = prometheus::BuildCounter()
+              .Name("ggv_gateway_forwarded_total")
+              .Help("Requests sent to forwarding peers, by how they ended")
+              .Register(m_registry);
     prometheus::Family<prometheus::Counter> &m_retries
         = prometheus::BuildCounter()
               .Name("ggv_gateway_retries_total")
@@ -73,6 +78,11 @@
         .Observe(toSeconds(duration));
 }
 
+void GatewayMetrics::recordForwarding(std::string_view end)
+{
+    m_implementation->m_forwarded.Add({ { "end", std::string(end) } }).Increment();
+}
+
 void GatewayMetrics::recordRetry(bool allowed)
 {
     m_implementation->m_retries.Add({ { "allowed", allowed ? "yes" : "no" } }).Increment();
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
@@ -40,6 +40,8 @@
     void recordRequest(std::string_view outcome, std::string_view reason, Duration total);
     //! Records an attempt at a target. @param end How it ended. @param duration Its duration.
     void recordAttempt(std::string_view end, Duration duration);
+    //! Records a request sent to a forwarding peer. @param end How it ended.
+    void recordForwarding(std::string_view end);
     //! Records a retry. @param allowed False if the retry budget was exhausted.
     void recordRetry(bool allowed);
     //! @return All metrics in the Prometheus text format.
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -1,5 +1,6 @@
 #include <ggv/coordination/gateway/gateway_request.hpp>
 
+#include <ggv/coordination/gateway/completion_reasons.hpp>
 #include <ggv/coordination/gateway/header_values.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/state/routing/target_affinity.hpp>
@@ -10,47 +11,26 @@
 namespace ggv {
 
 namespace asio = boost::asio;
+using namespace detail;
 
 namespace {
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 //! Time reserved for sending the response to the caller.
 constexpr Duration DeadlineMargin = std::chrono::milliseconds(10);
-//! Minimum remaining time for sending a request to a target.
-constexpr Duration MinTargetTime = std::chrono::milliseconds(30);
 //! Responses up to this size are read completely before they are forwarded, so that a truncated
 //! one can be replaced by a retry.
 constexpr std::size_t MaxBufferedAnswerBytes = 64UL * 1024;
-constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(5);
-//! Retry delay for callers of a host that has no configuration yet.
-constexpr Duration RetryAfterWithoutRoutes = std::chrono::milliseconds(400);
 //! A request waits for the first route table for at most its time-out divided by this value, and
 //! never longer than MaxRoutesWait.
 constexpr int RoutesWaitDivisor = 3;
 constexpr Duration MaxRoutesWait = std::chrono::seconds(1);
+//! Minimum remaining time for sending a request to a target or peer.
+constexpr Duration MinAttemptTime = std::chrono::milliseconds(30);
 constexpr std::size_t ChunkBytes = 4UL * 1024;
 constexpr std::uint32_t MaxConnectFailures = 3;
 constexpr std::uint32_t MaxNotExecuted = 3;
-constexpr std::uint16_t StatusBadRequest = 400;
-constexpr std::uint16_t StatusNotFound = 404;
-constexpr std::uint16_t StatusMisdirected = 421;
-constexpr std::uint16_t StatusBadGateway = 502;
-constexpr std::uint16_t StatusUnavailable = 503;
-constexpr std::uint16_t StatusGatewayTimeout = 504;
 constexpr const char *LeavingValue = "1";
-// Values of the log field "reason".
-constexpr const char *NoConfiguration = "no-configuration";
-constexpr const char *HostLeaving = "host-leaving";
-constexpr const char *TargetsFull = "targets-full";
-constexpr const char *TargetsBackingOff = "targets-backing-off";
-constexpr const char *BodyMemoryFull = "body-memory-full";
-constexpr const char *NoTimeLeft = "no-time-left";
-constexpr const char *NoTargetListed = "no-target-listed";
-constexpr const char *TargetsUnreachable = "targets-unreachable";
-constexpr const char *NotExecuted = "not-executed";
-constexpr const char *TargetFailed = "target-failed";
-constexpr const char *TargetAnswered = "target-answered";
-constexpr const char *TargetAnsweredLate = "target-answered-late";
 
 std::string_view attemptOutcomeName(TargetOutcome outcome) noexcept
 {
@@ -77,19 +57,14 @@
     return isRefused ? "request-refused" : "request-abandoned";
 }
 
-HttpAnswer textAnswer(std::uint16_t status, const char *text)
-{
-    HttpAnswer answer;
-    answer.status = status;
-    answer.body = text;
-    return answer;
-}
-
 } // namespace
 
-GatewayRequest::GatewayRequest(GatewayContext &context, ServerExchange &caller)
+GatewayRequest::GatewayRequest(GatewayContext &context, ServerExchange &caller,
+                               RequestOrigin origin)
     : m_context(context)
     , m_caller(caller)
+    , m_origin(origin)
+    , m_peers(context.forwardingPeers())
     , m_startedAt(monotonicNow())
     , m_routes(context.routes())
     , m_bodyMemory(context.bodyMemory().reservation())
@@ -102,6 +77,8 @@
 
 Duration GatewayRequest::remainingTime() const { return m_deadline - monotonicNow(); }
 
+bool GatewayRequest::hasTimeForAttempt() const { return remainingTime() >= MinAttemptTime; }
+
 asio::awaitable<void> GatewayRequest::run()
 {
     try {
@@ -124,7 +101,7 @@
     }
     if (!selectRoute()) {
         logCompletion(LogLevel::Warning, "request-refused", StatusNotFound, "no-route");
-        HttpAnswer answer = textAnswer(StatusNotFound, "no route\n");
+        HttpAnswer answer { StatusNotFound, {}, "no route\n" };
         co_await m_caller.answer(std::move(answer));
         co_return;
     }
@@ -210,7 +187,9 @@
 
 asio::awaitable<void> GatewayRequest::forward()
 {
-    m_context.onRequest(m_query.service, m_startedAt);
+    // Of a request that goes to a peer only, the peer records the arrival.
+    if (!m_context.targetPath().isLost())
+        m_context.onRequest(m_query.service, m_startedAt);
     while (true) {
         const auto end = co_await attempt();
         if (!shouldRetry(end)) {
@@ -232,15 +211,13 @@
 
 bool GatewayRequest::shouldRetry(AttemptResult end)
 {
-    if (*m_callerDisconnected || remainingTime() < MinTargetTime)
+    if (*m_callerDisconnected || !hasTimeForAttempt())
         return false;
     switch (end) {
     case AttemptResult::NotConnected:
-        return m_choice.target != nullptr && ++m_connectFailures < MaxConnectFailures;
+        return mayConnectElsewhere();
     case AttemptResult::NotExecuted:
-        // Not limited by maxAttempts, which counts only sends that may have been executed.
-        return m_choice.target != nullptr && ++m_notExecutedCount < MaxNotExecuted
-            && m_context.tryRetry(m_query.service, monotonicNow());
+        return mayResendUnexecuted();
     case AttemptResult::Failed:
     case AttemptResult::Lost:
         if (!idempotent())
@@ -253,29 +230,51 @@
         && m_context.tryRetry(m_query.service, monotonicNow());
 }
 
+bool GatewayRequest::mayConnectElsewhere()
+{
+    if (m_peers.current())
+        return true;
+    if (!m_avoidsTargets && mayUsePeers()) {
+        m_avoidsTargets = true;
+        return true;
+    }
+    return m_choice.target != nullptr && ++m_connectFailures < MaxConnectFailures;
+}
+
+// Not limited by maxAttempts, which counts only sends that may have been executed.
+bool GatewayRequest::mayResendUnexecuted()
+{
+    ++m_notExecutedCount;
+    if (m_peers.current() && !m_peers.targetsRefused())
+        return true;
+    return (m_peers.current() || m_choice.target) && m_notExecutedCount < MaxNotExecuted
+        && m_context.tryRetry(m_query.service, monotonicNow());
+}
+
+bool GatewayRequest::mayUsePeers()
+{
+    return m_origin == RequestOrigin::Caller
+        && m_context.targetPath().state() != TargetPathState::Open
+        && m_peers.hasNext(*m_route, monotonicNow(), m_context.random());
+}
+
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::attempt()
 {
     const Instant now = monotonicNow();
     if (*m_callerDisconnected)
         co_return AttemptResult::CallerDisconnected;
-    if (remainingTime() < MinTargetTime)
+    if (!hasTimeForAttempt())
         co_return m_mayHaveExecuted ? AttemptResult::DeadlinePassed : AttemptResult::NotExecuted;
+    if (m_avoidsTargets || m_context.targetPath().isLost())
+        co_return co_await attemptAtPeer();
+    m_peers.leave();
     m_choice = m_context.targets().choose(m_query, remainingTime(), now, m_context.random());
     if (!m_choice.target)
         co_return AttemptResult::NotConnected;
     m_query.triedInstances.insert(m_choice.target->listing().instance);
-    m_sentAt = now;
-    const Instant connectBy = std::min(m_deadline, now + ConnectTimeout);
-    std::optional<Error> failure;
-    try {
-        m_exchange = co_await m_context.connections().open(m_choice.target->listing().endpoint,
-                                                           false, connectBy);
-    } catch (const Error &error) {
-        failure = error;
-    }
-    if (failure) {
+    const auto failure = co_await connect(m_choice.target->listing().endpoint);
+    if (failure)
         co_return onConnectFailed(*failure);
-    }
     // The target may have said that it is leaving or busy while the connection was established.
     if (!m_context.targets().mayReceive(*m_choice.target, monotonicNow())) {
         finishAttempt(std::nullopt, false);
@@ -284,6 +283,43 @@
     co_return co_await exchange();
 }
 
+asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::attemptAtPeer()
+{
+    m_choice = {};
+    if (m_origin == RequestOrigin::Peer
+        || !m_peers.selectNext(*m_route, monotonicNow(), m_context.random()))
+        co_return AttemptResult::NotConnected;
+    const auto failure = co_await connect(m_peers.current()->endpoint);
+    if (failure)
+        co_return onPeerUnreachable(*failure);
+    co_return co_await exchange();
+}
+
+// Opens a connection for the exchange. Returns the error if this failed.
+asio::awaitable<std::optional<Error>> GatewayRequest::connect(const Endpoint &endpoint)
+{
+    m_sentAt = monotonicNow();
+    const Instant connectBy = std::min(m_deadline, m_sentAt + ConnectTimeout);
+    std::optional<Error> failure;
+    try {
+        m_exchange = co_await m_context.connections().open(endpoint, false, connectBy);
+    } catch (const Error &error) {
+        failure = error;
+    }
+    co_return failure;
+}
+
+GatewayRequest::AttemptResult GatewayRequest::onPeerUnreachable(const Error &error)
+{
+    logEvent(LogLevel::Warning, "peer-unreachable",
+             { { "request", m_requestId },
+               { "peer", m_peers.lastPeer().text() },
+               { "reason", error.what() } });
+    m_peers.onFailed(monotonicNow());
+    finishAttempt(TargetOutcome::Refused, false);
+    return AttemptResult::NotConnected;
+}
+
 GatewayRequest::AttemptResult GatewayRequest::onConnectFailed(const Error &error)
 {
     logEvent(LogLevel::Warning, "target-unreachable",
@@ -311,7 +347,8 @@
     const auto millis
         = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime()).count();
     head.headers.push_back({ names.deadline, std::to_string(std::max<std::int64_t>(millis, 1)) });
-    head.headers.push_back({ names.targetInstance, m_choice.target->listing().instance });
+    if (m_choice.target)
+        head.headers.push_back({ names.targetInstance, m_choice.target->listing().instance });
     if (m_caller.head().hasBody())
         head.contentLength = m_body.size();
     return head;
@@ -343,6 +380,7 @@
     logEvent(LogLevel::Warning, "attempt-failed",
              { { "request", m_requestId },
                { "target", m_choice.target ? m_choice.target->listing().instance : "" },
+               { "peer", m_peers.lastPeer().text() },
                { "code", std::string(resultCodeName(error.code())) },
                { "reason", error.what() },
                { "reused", m_exchange != nullptr && m_exchange->reused() },
@@ -353,14 +391,21 @@
         return AttemptResult::CallerDisconnected;
     }
     if (error.code() == ResultCode::PeerSilent) {
-        m_context.connections().closeIdleConnections(m_choice.target->listing().endpoint);
+        m_context.connections().closeIdleConnections(receiver());
         finishAttempt(TargetOutcome::TimedOut, false);
         return AttemptResult::DeadlinePassed;
     }
+    if (m_peers.current())
+        m_peers.onFailed(monotonicNow());
     finishAttempt(TargetOutcome::Reset, false);
     return AttemptResult::Lost;
 }
 
+const Endpoint &GatewayRequest::receiver() const
+{
+    return m_choice.target ? m_choice.target->listing().endpoint : m_peers.current()->endpoint;
+}
+
 // Applies what a response of the chosen instance says about the instance itself.
 void GatewayRequest::recordTargetState(const HttpAnswerHead &head)
 {
@@ -413,13 +458,21 @@
     if (success && findHeader(head.headers, names.integrityMarker) == nullptr)
         throw Error(ResultCode::ProtocolViolation,
                     "successful response without the target's integrity marker");
-    return head.status >= 500 ? AttemptResult::Failed : AttemptResult::Answered;
+    return head.status >= StatusServerError ? AttemptResult::Failed : AttemptResult::Answered;
+}
+
+GatewayRequest::AttemptResult GatewayRequest::classifyPeerAnswer(const HttpAnswerHead &head)
+{
+    if (!m_peers.isRefusal(head, m_requestId, m_context.headers()))
+        return AttemptResult::Answered;
+    m_peers.onRefused(head, monotonicNow());
+    return AttemptResult::NotExecuted;
 }
 
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::readAnswer()
 {
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
-    const auto end = classifyAnswer(head);
+    const auto end = m_peers.current() ? classifyPeerAnswer(head) : classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
         std::array<std::uint8_t, ChunkBytes> chunk;
         while (co_await m_exchange->readBody(chunk, m_deadline) > 0) { }
@@ -444,7 +497,8 @@
     if (isComplete) {
         if (!head.noBody)
             head.contentLength = buffered.size();
-        const bool isFailure = head.status >= 500;
+        // A peer has made the attempts that the route allows.
+        const bool isFailure = head.status >= StatusServerError && !m_peers.current();
         finishAttempt(isFailure ? TargetOutcome::Reset : TargetOutcome::Success, true);
         m_bufferedAnswer.emplace(std::move(head), std::move(buffered));
         co_return isFailure ? AttemptResult::Failed : AttemptResult::Answered;
@@ -461,8 +515,11 @@
 
 void GatewayRequest::finishAttempt(std::optional<TargetOutcome> outcome, bool reusable)
 {
-    m_context.metrics().recordAttempt(outcome ? attemptOutcomeName(*outcome) : "cancelled",
-                                      monotonicNow() - m_sentAt);
+    const auto name = outcome ? attemptOutcomeName(*outcome) : "cancelled";
+    if (m_peers.current())
+        m_context.metrics().recordForwarding(name);
+    else
+        m_context.metrics().recordAttempt(name, monotonicNow() - m_sentAt);
     if (m_choice.target)
         m_context.targets().finish(m_choice, outcome, m_sentAt, monotonicNow());
     if (m_exchange && reusable)
@@ -470,141 +527,4 @@
     m_exchange.reset();
 }
 
-asio::awaitable<void> GatewayRequest::sendBufferedAnswer()
-{
-    const auto &[head, body] = *m_bufferedAnswer;
-    co_await m_caller.startAnswer(head);
-    if (!body.empty())
-        co_await m_caller.writeBody(body);
-    co_await m_caller.finishAnswer();
-}
-
-asio::awaitable<void> GatewayRequest::completeRequest(AttemptResult end)
-{
-    if (end == AttemptResult::CallerDisconnected || *m_callerDisconnected) {
-        logCompletion(LogLevel::Info, "request-abandoned", 0, "caller-gone");
-        m_caller.abort();
-        co_return;
-    }
-    if (m_caller.answerStarted()) {
-        if (end == AttemptResult::Answered) {
-            logAnswered(m_forwardedStatus);
-        } else {
-            logCompletion(LogLevel::Warning, "request-failed", 0, "answer-cut");
-            m_caller.abort();
-        }
-        co_return;
-    }
-    if (m_bufferedAnswer) {
-        const auto status = m_bufferedAnswer->first.status;
-        // These statuses would tell the caller that the request was not executed, although this
-        // target executed it; they are replaced below.
-        const bool promisesNotExecuted
-            = status == StatusUnavailable || status == 429 || status == 408;
-        if (!promisesNotExecuted) {
-            logAnswered(status);
-            co_await sendBufferedAnswer();
-            co_return;
-        }
-    }
-    if (!m_mayHaveExecuted) {
-        co_await reject(StatusUnavailable, rejectionReason());
-        co_return;
-    }
-    const bool late = end == AttemptResult::DeadlinePassed;
-    const std::uint16_t status = late ? StatusGatewayTimeout : StatusBadGateway;
-    logCompletion(LogLevel::Warning, "request-failed", status,
-                  late ? "deadline-passed" : "target-lost");
-    HttpAnswer answer = textAnswer(status, "the request may have run\n");
-    co_await m_caller.answer(std::move(answer));
-}
-
-const char *GatewayRequest::rejectionReason() const
-{
-    if (m_notExecutedCount > 0)
-        return NotExecuted;
-    if (m_connectFailures > 0)
-        return TargetsUnreachable;
-    if (remainingTime() < MinTargetTime)
-        return NoTimeLeft;
-    switch (m_choice.reason) {
-    case NoTargetReason::AllFull:
-        return TargetsFull;
-    case NoTargetReason::AllBackingOff:
-        return TargetsBackingOff;
-    case NoTargetReason::NoneListed:
-        break;
-    }
-    return NoTargetListed;
-}
-
-RetryDelay GatewayRequest::retryDelay(const char *reason) const
-{
-    // A host that shuts down asks for an early retry: another entry host can serve the request.
-    if (reason == HostLeaving)
-        return { ShutdownRetryAfter, ShutdownRetryAfter };
-    if (m_route == nullptr)
-        return { RetryAfterWithoutRoutes, RetryAfterWithoutRoutes };
-    return m_context.targets().retryDelay(m_query, monotonicNow());
-}
-
-asio::awaitable<void> GatewayRequest::reject(std::uint16_t status, const char *reason)
-{
-    logCompletion(LogLevel::Warning, "request-refused", status, reason);
-    const RetryDelay delay = retryDelay(reason);
-    const double jitter
-        = uniformFraction(m_context.random()) * static_cast<double>(delay.spread.count());
-    const Duration wait = delay.earliest + Duration(static_cast<Duration::rep>(jitter));
-    HttpAnswer answer = textAnswer(status, "the request has not run\n");
-    answer.headers.push_back(HttpHeader { "Retry-After", formatSeconds(wait) });
-    co_await m_caller.answer(std::move(answer));
-}
-
-void GatewayRequest::logAnswered(std::uint16_t status)
-{
-    const Instant now = monotonicNow();
-    if (status >= StatusBadRequest)
-        logCompletion(LogLevel::Warning, "request-answered", status, TargetFailed);
-    else if (m_context.logRateLimiter().tryAcquire(now))
-        logCompletion(LogLevel::Info, "request-answered", status, successReason(now));
-    else
-        recordCompletion("request-answered", successReason(now));
-}
-
-const char *GatewayRequest::successReason(Instant now) const
-{
-    return now - m_startedAt > m_route->latencyObjective ? TargetAnsweredLate : TargetAnswered;
-}
-
-void GatewayRequest::recordCompletion(const char *event, std::string_view reason)
-{
-    m_isCompleted = true;
-    m_context.metrics().recordRequest(event, reason, monotonicNow() - m_startedAt);
-}
-
-void GatewayRequest::logCompletion(LogLevel level, const char *event, std::uint16_t status,
-                                   std::string_view reason)
-{
-    recordCompletion(event, reason);
-    const auto *target = m_choice.target.get();
-    logEvent(level, event,
-             { { "request", m_requestId },
-               { "status", status },
-               { "reason", reason },
-               { "route", m_route == nullptr ? "" : m_route->name },
-               { "service", m_query.service.text() },
-               { "target", target == nullptr ? "" : target->listing().instance },
-               { "load", m_choice.load },
-               { "rank", m_choice.rank },
-               { "knows_object", m_choice.knowsObject },
-               { "expected_wait_ms", m_choice.expectedWait.count() / 1000 },
-               { "sends", m_sendCount },
-               { "may_have_run", m_mayHaveExecuted },
-               { "version", m_routes ? m_routes->version() : 0 },
-               { "state_age_ms", m_context.stateAge().count() / 1000 },
-               { "list_age_ms", m_context.listAge().count() / 1000 },
-               { "lines_left_out", m_context.logRateLimiter().takeSuppressedLines() },
-               { "elapsed_ms", (monotonicNow() - m_startedAt).count() / 1000 } });
-}
-
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ggv/coordination/gateway/gateway_context.hpp>
+#include <ggv/coordination/gateway/peer_forwarding.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/state/storage/disk.hpp>
 #include <ggv/transport/http/http_server.hpp>
@@ -20,12 +21,15 @@
  *
  * A non-idempotent request is retried only if no byte of it was sent or the target stated that it
  * did not execute it. A response 503 or 429 of this system means that the request was not executed.
+ * While this host reaches no target, requests go to forwarding peers instead.
  */
 class GatewayRequest : public std::enable_shared_from_this<GatewayRequest>
 {
 public:
     //! @param context Shared state; must outlive the request. @param caller The caller's exchange.
-    GatewayRequest(GatewayContext &context, ServerExchange &caller);
+    //! @param origin Who the caller is; a peer's request is never forwarded to another peer.
+    GatewayRequest(GatewayContext &context, ServerExchange &caller,
+                   RequestOrigin origin = RequestOrigin::Caller);
 
     //! Serves the request. On return, the response was sent or the connection was aborted.
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -45,22 +49,32 @@
     [[nodiscard]] Duration maxRoutesWait() const;
     [[nodiscard]] bool selectRoute();
     [[nodiscard]] Duration remainingTime() const;
+    [[nodiscard]] bool hasTimeForAttempt() const;
     [[nodiscard]] boost::asio::awaitable<bool> receiveBody();
     [[nodiscard]] boost::asio::awaitable<bool> bufferBody();
     [[nodiscard]] boost::asio::awaitable<void> forward();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> attempt();
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> attemptAtPeer();
+    [[nodiscard]] boost::asio::awaitable<std::optional<Error>> connect(const Endpoint &endpoint);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> exchange();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> readAnswer();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> forwardAnswer(HttpAnswerHead head);
     [[nodiscard]] boost::asio::awaitable<void> sendBufferedAnswer();
     [[nodiscard]] bool shouldRetry(AttemptResult end);
+    [[nodiscard]] bool mayConnectElsewhere();
+    [[nodiscard]] bool mayResendUnexecuted();
+    [[nodiscard]] bool mayUsePeers();
     [[nodiscard]] boost::asio::awaitable<void> completeRequest(AttemptResult end);
     [[nodiscard]] boost::asio::awaitable<void> reject(std::uint16_t status, const char *reason);
+    [[nodiscard]] const char *lossReason() const;
     [[nodiscard]] const char *rejectionReason() const;
     [[nodiscard]] RetryDelay retryDelay(const char *reason) const;
     [[nodiscard]] HttpRequestHead forwardedHead() const;
     [[nodiscard]] AttemptResult classifyAnswer(const HttpAnswerHead &head);
+    [[nodiscard]] AttemptResult classifyPeerAnswer(const HttpAnswerHead &head);
+    [[nodiscard]] const Endpoint &receiver() const;
     [[nodiscard]] AttemptResult onAttemptFailed(const Error &error);
+    [[nodiscard]] AttemptResult onPeerUnreachable(const Error &error);
     [[nodiscard]] AttemptResult onConnectFailed(const Error &error);
     void logRetry(AttemptResult end) const;
     void recordTargetState(const HttpAnswerHead &head);
@@ -77,6 +91,8 @@
 
     GatewayContext &m_context;
     ServerExchange &m_caller;
+    RequestOrigin m_origin;
+    PeerForwarding m_peers;
     Instant m_startedAt;
     Instant m_deadline {};
     std::shared_ptr<const RouteTable> m_routes;
@@ -88,10 +104,12 @@
     TargetChoice m_choice;
     std::unique_ptr<ClientExchange> m_exchange;
     Instant m_sentAt {};
-    std::uint32_t m_sendCount = 0; //!< Attempts in which bytes may have reached a target.
-    std::uint32_t m_notExecutedCount = 0; //!< Sends that the target reported as not executed.
+    std::uint32_t m_sendCount = 0; //!< Attempts in which bytes may have reached a target or peer.
+    std::uint32_t m_notExecutedCount
+        = 0; //!< Sends that the target or peer reported as not executed.
     std::uint32_t m_connectFailures = 0;
     std::uint16_t m_forwardedStatus = 0; //!< Status of a response that is streamed to the caller.
+    bool m_avoidsTargets = false; //!< Targets were unreachable; the request goes to peers.
     bool m_mayHaveExecuted = false;
     bool m_isCompleted = false; //!< Completion was recorded, and logged unless rate-limited.
     std::shared_ptr<bool> m_callerDisconnected = std::make_shared<bool>(false);
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -7,6 +7,7 @@
 #include <net/raw_socket.hpp>
 
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -94,9 +95,9 @@
 class GatewayFixture
 {
 public:
-    GatewayFixture()
-        : m_context(m_pool.context(0), topology(), sampleHeaders(),
-                    { 1.0, std::chrono::seconds(1), 1000.0 }, BodyMemory)
+    explicit GatewayFixture(const RetryPolicy &retryPolicy
+                            = { 1.0, std::chrono::seconds(1), 1000.0 })
+        : m_context(m_pool.context(0), topology(), sampleHeaders(), retryPolicy, BodyMemory)
     { }
 
     static constexpr std::uint64_t BodyMemory = 64;
@@ -115,22 +116,46 @@
         m_closed.push_back({ "127.0.0.1", acceptor.local_endpoint().port() });
     }
 
+    // Must be called before start().
+    void setAllowedRegions(std::vector<RegionName> regions)
+    {
+        m_allowedRegions = std::move(regions);
+    }
+    void setPeers(std::vector<ForwardingPeer> peers)
+    {
+        m_context.forwardingPeers().update(std::move(peers));
+    }
+    void suspectPath()
+    {
+        auto &path = m_context.targetPath();
+        for (std::size_t n = 0; n < TargetPathMonitor::MinFailedTargets; ++n) {
+            const auto number = std::to_string(n);
+            path.observeFailure("i" + number, FailureDomainName("d" + number), monotonicNow());
+        }
+    }
+    void losePath()
+    {
+        suspectPath();
+        m_context.targetPath().observeProbes(false, monotonicNow());
+    }
+
     // Starts the gateway with one route that allows the given number of attempts.
     void start(RouteKind kind, std::uint32_t attempts, bool withRoutes = true)
     {
         m_context.setTargets(list(), Duration(0));
         if (withRoutes)
             m_context.setRoutes(makeRoutes(kind, attempts));
-        m_server = HttpServer::listen(
-                       m_pool, { "127.0.0.1", 0 }, {},
-                       [this](ServerExchange &exchange) { return serve(exchange); },
-                       [](ResultCode, const std::string &) {
-                           return HttpAnswer { 400, {}, "" };
-                       })
-                       .value();
+        m_server = listen(RequestOrigin::Caller);
+        m_peerServer = listen(RequestOrigin::Peer);
         m_pool.start();
     }
 
+    // This gateway as a peer of another one.
+    ForwardingPeer asPeer(const std::string &name, const std::string &region) const
+    {
+        return { HostName(name), { "127.0.0.1", m_peerServer->port() }, RegionName(region) };
+    }
+
     RawSocket send(const std::string &remainingTime = "2000", const std::string &path = "/a/1",
                    const std::string &body = "body")
     {
@@ -156,6 +181,15 @@
 
     void shutDownAfter(Duration time) { m_context.setShutdownDeadline(monotonicNow() + time); }
 
+    std::vector<TargetStateReport> targetStateReports()
+    {
+        std::promise<std::vector<TargetStateReport>> reports;
+        boost::asio::post(m_pool.context(0), [&] {
+            reports.set_value(m_context.targets().takeStateReports(monotonicNow()));
+        });
+        return reports.get_future().get();
+    }
+
     std::size_t receivedRequests() const
     {
         std::size_t count = 0;
@@ -192,7 +226,7 @@
         return list;
     }
 
-    static std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts)
+    std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts) const
     {
         Route route;
         route.name = "r";
@@ -203,6 +237,7 @@
         route.latencyObjective = std::chrono::milliseconds(100);
         route.maxAttempts = attempts;
         route.sticky = true;
+        route.allowedRegions = m_allowedRegions;
         route.services = { { ServiceName("s"), 1.0 } };
         RouteRules rules;
         rules.version = 1;
@@ -211,9 +246,20 @@
         return std::make_shared<const RouteTable>(RouteTable::create(rules).value());
     }
 
-    boost::asio::awaitable<void> serve(ServerExchange &exchange)
+    std::unique_ptr<HttpServer> listen(RequestOrigin origin)
+    {
+        return HttpServer::listen(
+                   m_pool, { "127.0.0.1", 0 }, {},
+                   [this, origin](ServerExchange &exchange) { return serve(exchange, origin); },
+                   [](ResultCode, const std::string &) {
+                       return HttpAnswer { 400, {}, "" };
+                   })
+            .value();
+    }
+
+    boost::asio::awaitable<void> serve(ServerExchange &exchange, RequestOrigin origin)
     {
-        const auto request = std::make_shared<GatewayRequest>(m_context, exchange);
+        const auto request = std::make_shared<GatewayRequest>(m_context, exchange, origin);
         co_await request->run();
     }
 
@@ -221,7 +267,9 @@
     GatewayContext m_context;
     std::vector<std::unique_ptr<ScriptedTarget>> m_targets;
     std::vector<Endpoint> m_closed;
+    std::vector<RegionName> m_allowedRegions;
     std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<HttpServer> m_peerServer;
     boost::asio::io_context m_callers;
 };
 
--- a/packages/state/ggv/state/log/request_explanation.cpp
+++ b/packages/state/ggv/state/log/request_explanation.cpp
@@ -36,6 +36,11 @@
              "refused: each target that may serve it had a longer queue than the remaining "
              "time allows, or had used up its cold rate" },
     Reason { "no-target-listed", "refused: the target list contains no target that may serve it" },
+    Reason { "path-lost",
+             "refused: this process reached no target and no peer that may serve the request" },
+    Reason { "peers-unavailable",
+             "refused: this process reached no target, and its peers refused the request or could "
+             "not be reached" },
     Reason { "targets-unreachable", "refused: no connection to the targets that were tried" },
     Reason { "no-time-left", "refused: too little of its time was left to send it" },
     Reason { "not-executed", "refused: targets refused it and no further attempt was allowed" },
@@ -45,6 +50,7 @@
              "refused: this process was shutting down before the request could finish" },
     Reason { "no-route", "refused: no route of the configuration in force matches the request" },
     Reason { "target-lost", "failed: the target ended or garbled the exchange after it was sent" },
+    Reason { "peer-lost", "failed: a peer ended or garbled the exchange after it was sent" },
     Reason { "deadline-passed", "failed: the target gave no answer in the request's time" },
     Reason { "answer-cut",
              "failed: the target's response was cut off after a part had been forwarded" },
@@ -205,6 +211,8 @@
     {
         for (const auto &target : m_targets)
             addTargetEvidence(target);
+        if (const auto peer = m_end->text("peer"); !peer.empty())
+            addFinding("this process reached no target and forwarded the request to " + peer);
         addServiceEvidence();
         addVersionEvidence();
         if (m_leaderChanges > 0)
