Serve forwarded requests on the internal endpoint of entry hosts

Cause: a host without a path to targets had nowhere to forward requests to. Change: Gateway listens on its announced internal endpoint and marks requests from there as a peer's, which are never forwarded again. Both listeners end alike at shutdown.

--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -81,13 +81,8 @@
         m_context.targets().setObserver(&Implementation::logTargetChange);
         m_context.listAge = [this] { return m_link ? m_link->listAge() : Duration(0); };
         m_context.stateAge = [this] { return m_link ? m_link->stateAge() : Duration(0); };
-        m_server = HttpServer::listen(
-                       m_pool, m_setup.self.service, callerLimits(),
-                       [weak = weak_from_this()](ServerExchange &exchange) {
-                           return serve(weak.lock(), exchange);
-                       },
-                       errorAnswer)
-                       .value();
+        m_servers.push_back(listen(m_setup.self.service, RequestOrigin::Caller).value());
+        listenForPeers();
         m_link = EntryLink::start(
             m_pool.context(0), m_setup.self, m_setup.seeds,
             { [this](const FleetFeed &feed) { apply(feed); },
@@ -100,10 +95,36 @@
                  { { "address", m_setup.self.service.address } });
     }
 
+    Result<std::unique_ptr<HttpServer>> listen(const Endpoint &endpoint, RequestOrigin origin)
+    {
+        return HttpServer::listen(
+            m_pool, endpoint, callerLimits(),
+            [weak = weak_from_this(), origin](ServerExchange &exchange) {
+                return serve(weak.lock(), exchange, origin);
+            },
+            errorAnswer);
+    }
+
+    // A host that cannot serve peers still serves its callers.
+    void listenForPeers()
+    {
+        if (m_setup.self.internal.port == 0)
+            return;
+        auto server = listen(m_setup.self.internal, RequestOrigin::Peer);
+        if (server) {
+            m_servers.push_back(std::move(server).value());
+            return;
+        }
+        logEvent(LogLevel::Error, "forwarding-unavailable",
+                 { { "address", m_setup.self.internal.address },
+                   { "port", m_setup.self.internal.port },
+                   { "reason", server.error().what() } });
+    }
+
     static asio::awaitable<void> serve(std::shared_ptr<Implementation> self,
-                                       ServerExchange &exchange)
+                                       ServerExchange &exchange, RequestOrigin origin)
     {
-        const auto request = std::make_shared<GatewayRequest>(self->m_context, exchange);
+        const auto request = std::make_shared<GatewayRequest>(self->m_context, exchange, origin);
         co_await request->run();
     }
 
@@ -185,19 +206,24 @@
     bool continueShutdown()
     {
         const Duration passed = monotonicNow() - *m_shutdownStartedAt;
-        if (passed >= fractionOf(m_setup.shutdownGrace, PersistentServiceFraction))
-            m_server->closeAfterAnswers();
+        for (const auto &it : m_servers) {
+            if (passed >= fractionOf(m_setup.shutdownGrace, PersistentServiceFraction))
+                it->closeAfterAnswers();
+        }
         if (passed < fractionOf(m_setup.shutdownGrace, AcceptFraction))
             return false;
-        m_server->stopAccepting();
-        return m_server->activeRequests() == 0
-            || passed >= fractionOf(m_setup.shutdownGrace, ExitFraction);
+        std::size_t activeRequests = 0;
+        for (const auto &it : m_servers) {
+            it->stopAccepting();
+            activeRequests += it->activeRequests();
+        }
+        return activeRequests == 0 || passed >= fractionOf(m_setup.shutdownGrace, ExitFraction);
     }
 
     IoPool &m_pool;
     GatewaySetup m_setup;
     GatewayContext m_context;
-    std::unique_ptr<HttpServer> m_server;
+    std::vector<std::unique_ptr<HttpServer>> m_servers; //!< For callers and for peers.
     std::shared_ptr<EntryLink> m_link;
     std::set<FailureDomainName> m_evacuated;
     std::uint64_t m_revision = 0;
