Let TargetPool take back the evidence of failures

Cause: after a cut of this host from all targets, those that it tried stayed cold for their cold start time, or down, though nothing was wrong with them. Change: TargetPool::forgetFailures() resets health and assumed restarts of the targets that failed since a given time. Cold periods of the platform's list and of evacuations are kept apart and stay in force. Result: 3 new tests of TargetPoolTest pass; with forgetFailures() disabled, forgottenFailuresGiveTheFullRateAtOnce failed.

--- a/packages/state/ggv/state/health/target_health.cpp
+++ b/packages/state/ggv/state/health/target_health.cpp
@@ -8,13 +8,13 @@
 
 constexpr std::uint32_t MaximumBackoffDoublings = 16;
 
+} // namespace
+
 bool isFailure(TargetOutcome outcome) noexcept
 {
     return outcome != TargetOutcome::Success && outcome != TargetOutcome::Overloaded;
 }
 
-} // namespace
-
 TargetHealth TargetHealth::warm(const HealthPolicy &policy) noexcept { return { policy, true }; }
 
 TargetHealth TargetHealth::cold(const HealthPolicy &policy) noexcept { return { policy, false }; }
--- a/packages/state/ggv/state/health/target_health.hpp
+++ b/packages/state/ggv/state/health/target_health.hpp
@@ -27,6 +27,9 @@
     Overloaded, //!< Status 503: the target is healthy and sheds load.
 };
 
+//! @return True if the outcome is evidence that the target does not work.
+[[nodiscard]] bool isFailure(TargetOutcome outcome) noexcept;
+
 //! Parameters of TargetHealth.
 struct HealthPolicy
 {
--- a/packages/state/ggv/state/health/target_path_monitor.hpp
+++ b/packages/state/ggv/state/health/target_path_monitor.hpp
@@ -59,6 +59,8 @@
     [[nodiscard]] bool isLost() const noexcept { return m_state == TargetPathState::Lost; }
     //! @return True if a round of probes should start unless one is running.
     [[nodiscard]] bool isProbeDue(Instant now) const noexcept;
+    //! @return When the next round of probes should start, if the state is not Open.
+    [[nodiscard]] Instant probeDueAt() const noexcept { return m_probeDueAt; }
     //! @return Number of distinct targets that failed, as evidence for the current state.
     [[nodiscard]] std::size_t failedTargets() const noexcept { return m_failures.size(); }
     //! @return Number of failure domains of these targets.
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -35,6 +35,7 @@
 constexpr const char *EvacuationEvidence = "evacuation-ended";
 constexpr const char *AnswerEvidence = "answer";
 constexpr const char *SharedEvidence = "other-entry-host";
+constexpr const char *PathEvidence = "all-targets-unreachable";
 //! Number of objects recorded per target, and how long a record is valid.
 constexpr std::size_t MaxRecordedObjects = 1024;
 constexpr Duration ObjectRecordLifetime = std::chrono::seconds(30);
@@ -126,18 +127,19 @@
     m_onChange({ target.m_listing, status, source, age, statusDuration });
 }
 
-void TargetPool::extendColdPeriod(PooledTarget &target, Duration coldDuration, const char *source,
-                                  Duration age, Instant now)
+void TargetPool::extendColdPeriod(PooledTarget &target, Instant PooledTarget::*end,
+                                  Duration coldDuration, const char *source, Duration age,
+                                  Instant now)
 {
     if (coldDuration <= Duration(0))
         return;
-    if (now >= target.m_coldUntil) {
+    if (now >= target.coldUntil()) {
         notifyObserver(target, TargetStatus::Cold, source, age, coldDuration);
         // Tokens left from an earlier period would be spent by all hosts at once.
         target.m_coldTokens = 0.0;
         target.m_coldRefilledAt = now;
     }
-    target.m_coldUntil = std::max(target.m_coldUntil, now + coldDuration);
+    target.*end = std::max(target.*end, now + coldDuration);
 }
 
 void TargetPool::update(const TargetList &list, Duration age, Instant now)
@@ -166,7 +168,8 @@
             notifyObserver(*target, TargetStatus::Leaving, ListEvidence, age);
         // The age of the list is not subtracted: the entry may have been written late.
         if (startsColdPeriod && listing.coldDuration > Duration(0))
-            extendColdPeriod(*target, listing.coldDuration + ColdMargin, ListEvidence, age, now);
+            extendColdPeriod(*target, &PooledTarget::m_coldUntil, listing.coldDuration + ColdMargin,
+                             ListEvidence, age, now);
         byInstance[listing.instance] = target;
         services[listing.service].push_back(target);
     }
@@ -200,7 +203,8 @@
             continue;
         for (const auto &[instance, target] : m_byInstance) {
             if (target->m_listing.domain == domain)
-                markCold(*target, EvacuationEvidence, now);
+                extendColdPeriod(*target, &PooledTarget::m_coldUntil, coldStartOf(*target),
+                                 EvacuationEvidence, Duration(0), now);
         }
     }
     m_evacuated = domains;
@@ -305,16 +309,17 @@
 // no limit.
 std::optional<double> TargetPool::coldRateLimitOf(const PooledTarget &target, Instant now) const
 {
-    if (target.m_coldUntil == Instant::min() || now >= target.m_coldUntil + WarmUpTime)
+    const Instant coldUntil = target.coldUntil();
+    if (coldUntil == Instant::min() || now >= coldUntil + WarmUpTime)
         return std::nullopt;
     const auto policy = m_policies.find(target.m_listing.service);
     const double rate = policy == m_policies.end() ? 0.0 : policy->second.coldRequestsPerSecond;
     if (rate <= 0.0)
         return std::nullopt;
     const double share = rate / static_cast<double>(m_entryHosts);
-    if (now < target.m_coldUntil)
+    if (now < coldUntil)
         return share;
-    const auto progress = std::chrono::duration<double>(now - target.m_coldUntil)
+    const auto progress = std::chrono::duration<double>(now - coldUntil)
         / std::chrono::duration<double>(WarmUpTime);
     return share * (1.0 + progress * (WarmUpFactor - 1.0));
 }
@@ -429,6 +434,8 @@
 void TargetPool::observeHealth(PooledTarget &target, TargetOutcome outcome, Instant sentAt,
                                Instant now)
 {
+    if (isFailure(outcome))
+        target.m_failedAt = now;
     const bool wasDown = target.m_isDown;
     target.m_health.observeRequest(outcome, sentAt, now);
     target.m_isDown = target.m_health.state(now) == HealthState::Down
@@ -542,14 +549,28 @@
 
 void TargetPool::observeRestart(PooledTarget &target, Instant now)
 {
-    markCold(target, ConnectEvidence, now);
+    target.m_failedAt = now;
+    extendColdPeriod(target, &PooledTarget::m_coldUntilByFailure, coldStartOf(target),
+                     ConnectEvidence, Duration(0), now);
 }
 
-void TargetPool::markCold(PooledTarget &target, const char *source, Instant now)
+void TargetPool::forgetFailures(Instant since)
+{
+    for (const auto &[instance, target] : m_byInstance) {
+        if (target->m_failedAt < since)
+            continue;
+        target->m_failedAt = Instant::min();
+        target->m_coldUntilByFailure = Instant::min();
+        target->m_health = TargetHealth::warm(healthPolicy());
+        target->m_isDown = false;
+        notifyObserver(*target, TargetStatus::Working, PathEvidence);
+    }
+}
+
+Duration TargetPool::coldStartOf(const PooledTarget &target) const
 {
     const auto policy = m_policies.find(target.m_listing.service);
-    if (policy != m_policies.end())
-        extendColdPeriod(target, policy->second.coldStart, source, Duration(0), now);
+    return policy == m_policies.end() ? Duration(0) : policy->second.coldStart;
 }
 
 // Returns the earliest end of the periods stated by targets that could otherwise serve the request.
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -8,6 +8,7 @@
 #include <ggv/state/routing/target_backoff.hpp>
 #include <ggv/state/routing/target_state_report.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -58,6 +59,12 @@
 private:
     friend class TargetPool;
 
+    //! Returns the end of the cold period.
+    [[nodiscard]] Instant coldUntil() const noexcept
+    {
+        return std::max(m_coldUntil, m_coldUntilByFailure);
+    }
+
     ListedTarget m_listing;
     RegionName m_region;
     std::uint64_t m_digest = 0;
@@ -74,7 +81,9 @@
     //! The target said that it is leaving, or another instance answered at its address.
     bool m_departed = false;
     TargetBackoff m_backoff;
-    Instant m_coldUntil = Instant::min();
+    Instant m_coldUntil = Instant::min(); //!< According to the platform's list or an evacuation.
+    Instant m_coldUntilByFailure = Instant::min(); //!< Because a failure may mean a restart.
+    Instant m_failedAt = Instant::min(); //!< Time of the last failure that counts as evidence.
     double m_coldTokens = 0.0;
     Instant m_coldRefilledAt = Instant::min();
 };
@@ -197,6 +206,9 @@
     void applyStateReports(const std::vector<TargetStateReport> &reports, Instant now);
     //! Marks the target as cold for the service's cold start time; it may have restarted.
     void observeRestart(PooledTarget &target, Instant now);
+    //! Takes back the evidence against all targets that failed since the given time, because this
+    //! host was cut off from all of them.
+    void forgetFailures(Instant since);
 
     //! @return When the caller of a rejected request should retry: once the first target accepts
     //! requests again, if all of them stated a Retry-After.
@@ -243,11 +255,12 @@
     [[nodiscard]] std::optional<double> coldRateLimitOf(const PooledTarget &target,
                                                         Instant now) const;
     [[nodiscard]] bool tryAcquireColdToken(PooledTarget &target, Instant now);
-    void extendColdPeriod(PooledTarget &target, Duration coldDuration, const char *source,
-                          Duration age, Instant now);
+    //! Extends a cold period. @param end Member of the target that holds the end for this reason.
+    void extendColdPeriod(PooledTarget &target, Instant PooledTarget::*end, Duration coldDuration,
+                          const char *source, Duration age, Instant now);
+    [[nodiscard]] Duration coldStartOf(const PooledTarget &target) const;
     void notifyObserver(const PooledTarget &target, TargetStatus status, const char *source,
                         Duration age = Duration(0), Duration statusDuration = Duration(0)) const;
-    void markCold(PooledTarget &target, const char *source, Instant now);
     void observeHealth(PooledTarget &target, TargetOutcome outcome, Instant sentAt, Instant now);
     void removeMissing(const std::map<std::string, PooledTargetRef> &listed, Duration age) const;
 
--- a/packages/state/test/routing/target_pool_test.cpp
+++ b/packages/state/test/routing/target_pool_test.cpp
@@ -89,6 +89,9 @@
     CPPUNIT_TEST(rateIsBoundedAtTheEndOfTheColdPeriod);
     CPPUNIT_TEST(laterColdPeriodStartsWithoutTokens);
     CPPUNIT_TEST(failingTargetsAreExcludedUnlessMostFail);
+    CPPUNIT_TEST(forgottenFailuresGiveTheFullRateAtOnce);
+    CPPUNIT_TEST(failuresBeforeTheStatedTimeAreKept);
+    CPPUNIT_TEST(listedColdPeriodOutlastsForgottenFailures);
     CPPUNIT_TEST(triedTargetsAreNotChosenAgain);
     CPPUNIT_TEST(unchangedColdDurationIsNotExtended);
     CPPUNIT_TEST(stateReportsReachOtherHosts);
@@ -396,6 +399,32 @@
         CPPUNIT_ASSERT(choose(7).target);
     }
 
+    void forgottenFailuresGiveTheFullRateAtOnce()
+    {
+        refuseAll();
+        CPPUNIT_ASSERT(countServed() < 200);
+        m_pool->forgetFailures(m_now);
+        CPPUNIT_ASSERT_EQUAL(200, countServed());
+    }
+
+    void failuresBeforeTheStatedTimeAreKept()
+    {
+        refuseAll();
+        m_pool->forgetFailures(m_now + Duration(1));
+        CPPUNIT_ASSERT(countServed() < 200);
+    }
+
+    void listedColdPeriodOutlastsForgottenFailures()
+    {
+        auto list = sampleList();
+        for (auto &it : list.targets)
+            it.coldDuration = seconds(5);
+        m_pool->update(list, Duration(0), m_now);
+        refuseAll();
+        m_pool->forgetFailures(m_now);
+        CPPUNIT_ASSERT(countServed() < 200);
+    }
+
     void triedTargetsAreNotChosenAgain()
     {
         auto query = queryFor(7);
@@ -503,6 +532,33 @@
         return choice.target->listing().instance;
     }
 
+    // Refuses connections to all targets until they are cold and down.
+    void refuseAll()
+    {
+        for (const auto &target : m_pool->targets()) {
+            TargetChoice choice;
+            choice.target = target;
+            for (int n = 0; n < 3; ++n) {
+                m_pool->observeRestart(*target, m_now);
+                m_pool->finish(choice, TargetOutcome::Refused, m_now, m_now);
+            }
+        }
+    }
+
+    // Returns how many of 200 requests get a target at the same moment.
+    int countServed()
+    {
+        int served = 0;
+        for (std::uint64_t object = 0; object < 200; ++object) {
+            const auto choice = choose(object);
+            if (!choice.target)
+                continue;
+            ++served;
+            m_pool->finish(choice, TargetOutcome::Success, m_now, m_now);
+        }
+        return served;
+    }
+
     // Sends a request and fails it if it goes to the given instance; an empty instance matches any.
     void fail(std::uint64_t object, const std::string &instance)
     {
