Notice when an entry host reaches no target, and probe until it does

Cause: an entry host that is cut off from all targets took each failure as the fault of its target: after the cut, all targets that it had tried were cold or down, and nothing told that the host itself was cut off. Change: GatewayContext owns a TargetPathMonitor; failed connections and unanswered attempts are observed with instance and failure domain, new connections as success. While the path is not open, failures are no evidence against targets; once it is lost, earlier evidence is taken back and idle connections are closed. Gauge ggv_gateway_reaches_targets. Scripted targets can refuse connections or drop all packets.

--- a/packages/coordination/ggv/coordination/gateway/fwd.hpp
+++ b/packages/coordination/ggv/coordination/gateway/fwd.hpp
@@ -7,5 +7,6 @@
 class Gateway;
 class GatewayContext;
 class GatewayRequest;
+class TargetPathProber;
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/coordination/fleet/entry_link.hpp>
 #include <ggv/coordination/gateway/gateway_request.hpp>
+#include <ggv/coordination/gateway/target_path_prober.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/http/http_server.hpp>
 
@@ -63,6 +64,14 @@
                     m_setup.bodyMemory)
     { }
 
+    ~Implementation()
+    {
+        if (m_prober)
+            m_prober->stop();
+    }
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
     static void logTargetChange(const TargetStatusChange &change)
     {
         logEvent(LogLevel::Info, "target-belief",
@@ -96,6 +105,10 @@
               [this](const std::vector<TargetStateReport> &reports) {
                   m_context.targets().applyStateReports(reports, monotonicNow());
               } });
+        m_prober
+            = TargetPathProber::start(m_pool.context(0), m_context, [this](bool reachesTargets) {
+                  m_onPathChanged(reachesTargets);
+              });
         logEvent(LogLevel::Info, "gateway-started",
                  { { "address", m_setup.self.service.address } });
     }
@@ -168,6 +181,7 @@
         for (const auto &it : targets)
             gauges.inFlight += it->inFlight();
         gauges.ready = ready();
+        gauges.reachesTargets = !m_context.targetPath().isLost();
         return m_context.metrics().text(gauges);
     }
 
@@ -199,6 +213,9 @@
     GatewayContext m_context;
     std::unique_ptr<HttpServer> m_server;
     std::shared_ptr<EntryLink> m_link;
+    std::shared_ptr<TargetPathProber> m_prober;
+    //! Called when this host no longer reaches any target, and when it reaches one again.
+    std::function<void(bool reachesTargets)> m_onPathChanged = [](bool) {};
     std::set<FailureDomainName> m_evacuated;
     std::uint64_t m_revision = 0;
     std::uint32_t m_entryHosts = 1;
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -3,6 +3,7 @@
 #include <ggv/transport/net/shared_secret.hpp>
 
 #include <algorithm>
+#include <set>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -62,6 +63,10 @@
 void GatewayContext::setTargets(const TargetList &list, Duration age)
 {
     m_targets.update(list, age, monotonicNow());
+    std::set<FailureDomainName> domains;
+    for (const auto &it : list.targets)
+        domains.insert(it.domain);
+    updateTargetPath([&](Instant) { m_targetPath.setDomains(domains.size()); });
     resumeWaitingRequests();
 }
 
@@ -103,6 +108,63 @@
     return m_budgets.emplace(service, RetryBudget(budgetPolicy())).first->second;
 }
 
+template <typename Observation>
+void GatewayContext::updateTargetPath(Observation observe)
+{
+    const Instant now = monotonicNow();
+    const TargetPathState before = m_targetPath.state();
+    const std::size_t failedTargets = m_targetPath.failedTargets();
+    const std::size_t failedDomains
+        = before == TargetPathState::Open ? 0 : m_targetPath.failedDomains();
+    observe(now);
+    const TargetPathState state = m_targetPath.state();
+    if (state == before)
+        return;
+    TargetPathChange change;
+    change.before = before;
+    change.state = state;
+    change.failedTargets = std::max(failedTargets, m_targetPath.failedTargets());
+    change.failedDomains = std::max(failedDomains, m_targetPath.failedDomains());
+    change.lasted = now - std::exchange(m_targetPathChangedAt, now);
+    if (state == TargetPathState::Lost)
+        takeBackEvidence();
+    else if (before == TargetPathState::Lost)
+        m_targetPathRestoredAt = now;
+    onTargetPathChange(change);
+}
+
+void GatewayContext::observeUnreachable(const PooledTarget &target, Instant attemptedAt)
+{
+    if (attemptedAt < m_targetPathRestoredAt)
+        return;
+    const auto &listing = target.listing();
+    updateTargetPath(
+        [&](Instant now) { m_targetPath.observeFailure(listing.instance, listing.domain, now); });
+}
+
+void GatewayContext::observeTargetConnection()
+{
+    updateTargetPath([this](Instant now) { m_targetPath.observeConnection(now); });
+}
+
+void GatewayContext::observeTargetProbes(bool anyEstablished)
+{
+    updateTargetPath([&](Instant now) { m_targetPath.observeProbes(anyEstablished, now); });
+}
+
+bool GatewayContext::isTargetAtFault(Instant attemptedAt) const noexcept
+{
+    return m_targetPath.isOpen() && attemptedAt >= m_targetPathRestoredAt;
+}
+
+// Targets that failed before the suspicion are as warm as before, and kept connections may be dead.
+void GatewayContext::takeBackEvidence()
+{
+    m_targets.forgetFailures(m_targetPath.evidenceSince());
+    for (const auto &it : m_targets.targets())
+        m_connections.closeIdleConnections(it->listing().endpoint);
+}
+
 void GatewayContext::onRequest(const ServiceName &service, Instant now)
 {
     budget(service).onRequest(now);
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -6,6 +6,7 @@
 #include <ggv/state/admission/memory_budget.hpp>
 #include <ggv/state/admission/retry_budget.hpp>
 #include <ggv/state/core/random_source.hpp>
+#include <ggv/state/health/target_path_monitor.hpp>
 #include <ggv/state/routing/route_table.hpp>
 #include <ggv/state/routing/target_pool.hpp>
 #include <ggv/transport/http/http_client.hpp>
@@ -14,6 +15,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -32,6 +34,18 @@
     [[nodiscard]] auto operator<=>(const RetryPolicy &) const noexcept = default;
 };
 
+//! Change of the belief whether this host reaches targets, with the evidence for the earlier state.
+struct TargetPathChange
+{
+    TargetPathState before = TargetPathState::Open;
+    TargetPathState state = TargetPathState::Open;
+    std::size_t failedTargets = 0; //!< Distinct targets that failed.
+    std::size_t failedDomains = 0; //!< Failure domains of these targets.
+    Duration lasted { 0 }; //!< Time spent in the earlier state.
+
+    [[nodiscard]] auto operator<=>(const TargetPathChange &) const noexcept = default;
+};
+
 /**
  * @brief State shared by all requests of an entry host. Not thread-safe; runs on one event loop.
  */
@@ -70,6 +84,19 @@
     //! Acquires a retry from the service's budget. @return False if the budget is exhausted.
     [[nodiscard]] bool tryRetry(const ServiceName &service, Instant now);
 
+    //! Records that a target did not accept a connection or did not answer an attempt.
+    //! @param attemptedAt Begin of the attempt.
+    void observeUnreachable(const PooledTarget &target, Instant attemptedAt);
+    //! Records that a new connection to a target was established.
+    void observeTargetConnection();
+    //! Records the result of a round of probes of targets.
+    void observeTargetProbes(bool anyEstablished);
+    //! @return True if the failure of an attempt is evidence against its target: not while this
+    //! host may be cut off from all targets, nor for an attempt from the time when it was.
+    [[nodiscard]] bool isTargetAtFault(Instant attemptedAt) const noexcept;
+    //! @return Whether this host reaches targets at all.
+    [[nodiscard]] TargetPathMonitor &targetPath() noexcept { return m_targetPath; }
+
     [[nodiscard]] TargetPool &targets() noexcept { return m_targets; }
     [[nodiscard]] HttpClientPool &connections() noexcept { return m_connections; }
     [[nodiscard]] const MemoryBudget &bodyMemory() const noexcept { return m_bodyMemory; }
@@ -80,18 +107,27 @@
     std::function<Duration()> listAge = [] { return Duration(0); };
     //! Returns the time since a control host confirmed the configuration in force, for logs.
     std::function<Duration()> stateAge = [] { return Duration(0); };
+    //! Called after each change of the belief whether this host reaches targets.
+    std::function<void(const TargetPathChange &)> onTargetPathChange
+        = [](const TargetPathChange &) {};
     //! @return Rate limiter of the log lines about successful requests.
     [[nodiscard]] LogRateLimiter &logRateLimiter() noexcept { return m_logRateLimiter; }
 
 private:
     [[nodiscard]] bool hasRoutesAndTargets() const noexcept;
     void resumeWaitingRequests();
+    template <typename Observation>
+    void updateTargetPath(Observation observe);
+    void takeBackEvidence();
     [[nodiscard]] RetryBudget &budget(const ServiceName &service);
     [[nodiscard]] RetryBudgetPolicy budgetPolicy() const;
 
     ForwardingHeaders m_headers;
     RetryPolicy m_retryPolicy;
     TargetPool m_targets;
+    TargetPathMonitor m_targetPath;
+    Instant m_targetPathChangedAt = monotonicNow();
+    Instant m_targetPathRestoredAt = Instant::min(); //!< End of the last loss.
     HttpClientPool m_connections;
     MemoryBudget m_bodyMemory;
     RandomSource m_random;
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
@@ -95,6 +95,8 @@
              static_cast<double>(gauges.inFlight));
     addGauge(gaugeRegistry, "ggv_gateway_ready", "1 while this host takes new work",
              gauges.ready ? 1 : 0);
+    addGauge(gaugeRegistry, "ggv_gateway_reaches_targets",
+             "0 while no target accepts connections of this host", gauges.reachesTargets ? 1 : 0);
     addGauge(gaugeRegistry, "ggv_log_lines_dropped", "Log lines that nobody read in time",
              static_cast<double>(droppedLogLines()));
     auto families = m_implementation->m_registry.Collect();
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
@@ -19,6 +19,7 @@
     std::size_t targets = 0;
     std::uint64_t inFlight = 0; //!< Requests in progress at targets.
     bool ready = false;
+    bool reachesTargets = true; //!< False while no target accepts connections of this host.
 };
 
 /**
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -276,6 +276,8 @@
     if (failure) {
         co_return onConnectFailed(*failure);
     }
+    if (!m_exchange->reused())
+        m_context.observeTargetConnection();
     // The target may have said that it is leaving or busy while the connection was established.
     if (!m_context.targets().mayReceive(*m_choice.target, monotonicNow())) {
         finishAttempt(std::nullopt, false);
@@ -290,7 +292,9 @@
              { { "request", m_requestId },
                { "target", m_choice.target->listing().instance },
                { "reason", error.what() } });
-    m_context.targets().observeRestart(*m_choice.target, monotonicNow());
+    m_context.observeUnreachable(*m_choice.target, m_sentAt);
+    if (m_context.isTargetAtFault(m_sentAt))
+        m_context.targets().observeRestart(*m_choice.target, monotonicNow());
     finishAttempt(TargetOutcome::Refused, false);
     return AttemptResult::NotConnected;
 }
@@ -320,6 +324,7 @@
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::exchange()
 {
     ++m_sendCount;
+    m_answerStarted = false;
     std::optional<Error> failure;
     try {
         // The caller may have disconnected while the connection was being established.
@@ -352,6 +357,11 @@
         finishAttempt(std::nullopt, false);
         return AttemptResult::CallerDisconnected;
     }
+    const bool isUnanswered = !m_answerStarted
+        && (error.code() == ResultCode::PeerSilent
+            || error.code() == ResultCode::TargetConnectionLost);
+    if (isUnanswered)
+        m_context.observeUnreachable(*m_choice.target, m_sentAt);
     if (error.code() == ResultCode::PeerSilent) {
         m_context.connections().closeIdleConnections(m_choice.target->listing().endpoint);
         finishAttempt(TargetOutcome::TimedOut, false);
@@ -419,6 +429,7 @@
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::readAnswer()
 {
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
+    m_answerStarted = true;
     const auto end = classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
         std::array<std::uint8_t, ChunkBytes> chunk;
@@ -463,8 +474,10 @@
 {
     m_context.metrics().recordAttempt(outcome ? attemptOutcomeName(*outcome) : "cancelled",
                                       monotonicNow() - m_sentAt);
+    const bool isEvidence = !outcome || !isFailure(*outcome) || m_context.isTargetAtFault(m_sentAt);
     if (m_choice.target)
-        m_context.targets().finish(m_choice, outcome, m_sentAt, monotonicNow());
+        m_context.targets().finish(m_choice, isEvidence ? outcome : std::nullopt, m_sentAt,
+                                   monotonicNow());
     if (m_exchange && reusable)
         m_context.connections().release(std::move(m_exchange));
     m_exchange.reset();
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -92,6 +92,7 @@
     std::uint32_t m_notExecutedCount = 0; //!< Sends that the target reported as not executed.
     std::uint32_t m_connectFailures = 0;
     std::uint16_t m_forwardedStatus = 0; //!< Status of a response that is streamed to the caller.
+    bool m_answerStarted = false; //!< The target sent a response head in the current attempt.
     bool m_mayHaveExecuted = false;
     bool m_isCompleted = false; //!< Completion was recorded, and logged unless rate-limited.
     std::shared_ptr<bool> m_callerDisconnected = std::make_shared<bool>(false);
--- a/packages/coordination/test/gateway/gateway_context_test.cpp
+++ b/packages/coordination/test/gateway/gateway_context_test.cpp
@@ -74,7 +74,8 @@
                "ggv_gateway_request_seconds_count{outcome=\"request-refused\"} 2",
                "ggv_gateway_attempt_seconds_count{end=\"answered\"} 1",
                "ggv_gateway_retries_total{allowed=\"no\"} 1", "ggv_gateway_version 12",
-               "ggv_gateway_list_age_seconds 1.5", "ggv_log_lines_dropped 0" })
+               "ggv_gateway_list_age_seconds 1.5", "ggv_gateway_reaches_targets 1",
+               "ggv_log_lines_dropped 0" })
             CPPUNIT_ASSERT_MESSAGE(line, text.find(line) != std::string::npos);
     }
 
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -103,8 +103,9 @@
 
     ~GatewayFixture() { m_pool.stop(); }
 
-    void addTarget(ScriptedTarget::Script script)
+    void addTarget(ScriptedTarget::Script script, const std::string &domain = "a")
     {
+        m_domains.emplace_back(domain);
         m_targets.push_back(std::make_unique<ScriptedTarget>(m_pool.context(0), std::move(script)));
     }
 
@@ -165,6 +166,12 @@
     }
 
     const ScriptedTarget &target(std::size_t number) const { return *m_targets[number]; }
+    ScriptedTarget &target(std::size_t number) { return *m_targets[number]; }
+    std::size_t targetCount() const { return m_targets.size(); }
+    GatewayContext &context() { return m_context; }
+    boost::asio::io_context &loop() { return m_pool.context(0); }
+    //! Sets the policy of the only service; call it before start().
+    void setServicePolicy(const ServicePolicy &policy) { m_servicePolicy = policy; }
 
 private:
     static Topology topology()
@@ -184,7 +191,8 @@
             target.instance = "t" + std::to_string(n);
             target.service = ServiceName("s");
             target.endpoint = endpoints[n];
-            target.domain = FailureDomainName("a");
+            target.domain
+                = n < m_closed.size() ? FailureDomainName("a") : m_domains[n - m_closed.size()];
             // The first target has the most slots, so that it is preferred.
             target.slots = n == 0 ? 1'000'000 : 1;
             list.targets.push_back(target);
@@ -192,7 +200,7 @@
         return list;
     }
 
-    static std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts)
+    std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts) const
     {
         Route route;
         route.name = "r";
@@ -207,7 +215,7 @@
         RouteRules rules;
         rules.version = 1;
         rules.routes = { route };
-        rules.services[ServiceName("s")] = {};
+        rules.services[ServiceName("s")] = m_servicePolicy;
         return std::make_shared<const RouteTable>(RouteTable::create(rules).value());
     }
 
@@ -220,6 +228,8 @@
     IoPool m_pool { 1 };
     GatewayContext m_context;
     std::vector<std::unique_ptr<ScriptedTarget>> m_targets;
+    std::vector<FailureDomainName> m_domains; //!< Failure domain of each scripted target.
+    ServicePolicy m_servicePolicy;
     std::vector<Endpoint> m_closed;
     std::unique_ptr<HttpServer> m_server;
     boost::asio::io_context m_callers;
--- a/packages/coordination/test/gateway/scripted_target.hpp
+++ b/packages/coordination/test/gateway/scripted_target.hpp
@@ -5,10 +5,14 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,12 +41,35 @@
 
     ScriptedTarget(boost::asio::io_context &context, Script script)
         : m_acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+        , m_endpoint(m_acceptor.local_endpoint())
         , m_script(std::move(script))
     {
         boost::asio::co_spawn(context, accept(), boost::asio::detached);
     }
 
-    ggv::Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    ggv::Endpoint endpoint() const { return { "127.0.0.1", m_endpoint.port() }; }
+
+    //! Refuses new connections; established ones live on. Runs on the event loop.
+    void refuseConnections() { m_acceptor.close(); }
+
+    //! Accepts connections again at the same address. Runs on the event loop.
+    void acceptConnections()
+    {
+        m_acceptor = { m_acceptor.get_executor(), m_endpoint };
+        boost::asio::co_spawn(m_acceptor.get_executor(), accept(), boost::asio::detached);
+    }
+
+    //! Drops all packets to this target, of established and new connections, or stops doing so.
+    //! Runs on the event loop.
+    void dropPackets(bool isDropping)
+    {
+        m_isDropping = isDropping;
+        applyPacketFilter(m_acceptor.native_handle());
+        for (const int socket : m_sockets)
+            applyPacketFilter(socket);
+    }
+
+    std::size_t acceptedConnections() const { return m_acceptedConnections; }
 
     std::vector<std::string> requests() const
     {
@@ -59,12 +86,21 @@
     {
         while (true) {
             Socket socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            ++m_acceptedConnections;
             boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)),
                                   boost::asio::detached);
         }
     }
 
     boost::asio::awaitable<void> serve(Socket socket)
+    {
+        const int handle = socket.native_handle();
+        m_sockets.insert(handle);
+        co_await answerRequests(socket);
+        m_sockets.erase(handle);
+    }
+
+    boost::asio::awaitable<void> answerRequests(Socket &socket)
     {
         std::string buffer;
         while (true) {
@@ -104,6 +140,14 @@
         m_requests.push_back(request);
     }
 
+    void applyPacketFilter(int socket) const
+    {
+        sock_filter dropAll { BPF_RET | BPF_K, 0, 0, 0 };
+        const sock_fprog program { 1, &dropAll };
+        ::setsockopt(socket, SOL_SOCKET, m_isDropping ? SO_ATTACH_FILTER : SO_DETACH_FILTER,
+                     &program, sizeof program);
+    }
+
     static std::size_t contentLengthOf(const std::string &head)
     {
         constexpr std::string_view Name = "Content-Length: ";
@@ -114,7 +158,11 @@
     static constexpr std::string_view HeadEnd = "\r\n\r\n";
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_endpoint;
     Script m_script;
+    std::set<int> m_sockets; //!< Established connections.
+    bool m_isDropping = false;
+    std::atomic<std::size_t> m_acceptedConnections = 0;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::atomic<bool> m_peerClosed = false;
