--- a/packages/coordination/ggv/coordination/gateway/fwd.hpp
+++ b/packages/coordination/ggv/coordination/gateway/fwd.hpp
@@ -8,5 +8,6 @@
 class GatewayContext;
 class GatewayRequest;
 class PeerForwarding;
+class TargetPathProber;
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -275,6 +275,8 @@
     const auto failure = co_await connect(m_choice.target->listing().endpoint);
     if (failure)
         co_return onConnectFailed(*failure);
+    if (!m_exchange->reused())
+        m_context.observeTargetConnection();
     // The target may have said that it is leaving or busy while the connection was established.
     if (!m_context.targets().mayReceive(*m_choice.target, monotonicNow())) {
         finishAttempt(std::nullopt, false);
@@ -326,7 +328,9 @@
              { { "request", m_requestId },
                { "target", m_choice.target->listing().instance },
                { "reason", error.what() } });
-    m_context.targets().observeRestart(*m_choice.target, monotonicNow());
+    m_context.observeUnreachable(*m_choice.target, m_sentAt);
+    if (m_context.isTargetAtFault(m_sentAt))
+        m_context.targets().observeRestart(*m_choice.target, monotonicNow());
     finishAttempt(TargetOutcome::Refused, false);
     return AttemptResult::NotConnected;
 }
@@ -357,6 +361,7 @@
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::exchange()
 {
     ++m_sendCount;
+    m_answerStarted = false;
     std::optional<Error> failure;
     try {
         // The caller may have disconnected while the connection was being established.
@@ -390,6 +395,11 @@
         finishAttempt(std::nullopt, false);
         return AttemptResult::CallerDisconnected;
     }
+    const bool isUnanswered = m_choice.target && !m_answerStarted
+        && (error.code() == ResultCode::PeerSilent
+            || error.code() == ResultCode::TargetConnectionLost);
+    if (isUnanswered)
+        m_context.observeUnreachable(*m_choice.target, m_sentAt);
     if (error.code() == ResultCode::PeerSilent) {
         m_context.connections().closeIdleConnections(receiver());
         finishAttempt(TargetOutcome::TimedOut, false);
@@ -472,6 +482,7 @@
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::readAnswer()
 {
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
+    m_answerStarted = true;
     const auto end = m_peers.current() ? classifyPeerAnswer(head) : classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
         std::array<std::uint8_t, ChunkBytes> chunk;
@@ -520,8 +531,10 @@
         m_context.metrics().recordForwarding(name);
     else
         m_context.metrics().recordAttempt(name, monotonicNow() - m_sentAt);
+    const bool isEvidence = !outcome || !isFailure(*outcome) || m_context.isTargetAtFault(m_sentAt);
     if (m_choice.target)
-        m_context.targets().finish(m_choice, outcome, m_sentAt, monotonicNow());
+        m_context.targets().finish(m_choice, isEvidence ? outcome : std::nullopt, m_sentAt,
+                                   monotonicNow());
     if (m_exchange && reusable)
         m_context.connections().release(std::move(m_exchange));
     m_exchange.reset();
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -109,6 +109,7 @@
         = 0; //!< Sends that the target or peer reported as not executed.
     std::uint32_t m_connectFailures = 0;
     std::uint16_t m_forwardedStatus = 0; //!< Status of a response that is streamed to the caller.
+    bool m_answerStarted = false; //!< A response head was received in the current attempt.
     bool m_avoidsTargets = false; //!< Targets were unreachable; the request goes to peers.
     bool m_mayHaveExecuted = false;
     bool m_isCompleted = false; //!< Completion was recorded, and logged unless rate-limited.
