--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -166,6 +166,7 @@
             return;
         m_peers = hosts;
         std::vector<ForwardingPeer> peers;
+        peers.reserve(hosts.size());
         for (const auto &it : hosts)
             peers.push_back({ it.name, it.internal, it.region });
         logEvent(LogLevel::Info, "forwarding-peers-changed", { { "peers", peers.size() } });
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -251,13 +251,6 @@
         && m_context.tryRetry(m_query.service, monotonicNow());
 }
 
-bool GatewayRequest::mayUsePeers()
-{
-    return m_origin == RequestOrigin::Caller
-        && m_context.targetPath().state() != TargetPathState::Open
-        && m_peers.hasNext(*m_route, monotonicNow(), m_context.random());
-}
-
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::attempt()
 {
     const Instant now = monotonicNow();
@@ -285,18 +278,6 @@
     co_return co_await exchange();
 }
 
-asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::attemptAtPeer()
-{
-    m_choice = {};
-    if (m_origin == RequestOrigin::Peer
-        || !m_peers.selectNext(*m_route, monotonicNow(), m_context.random()))
-        co_return AttemptResult::NotConnected;
-    const auto failure = co_await connect(m_peers.current()->endpoint);
-    if (failure)
-        co_return onPeerUnreachable(*failure);
-    co_return co_await exchange();
-}
-
 // Opens a connection for the exchange. Returns the error if this failed.
 asio::awaitable<std::optional<Error>> GatewayRequest::connect(const Endpoint &endpoint)
 {
@@ -311,17 +292,6 @@
     co_return failure;
 }
 
-GatewayRequest::AttemptResult GatewayRequest::onPeerUnreachable(const Error &error)
-{
-    logEvent(LogLevel::Warning, "peer-unreachable",
-             { { "request", m_requestId },
-               { "peer", m_peers.lastPeer().text() },
-               { "reason", error.what() } });
-    m_peers.onFailed(monotonicNow());
-    finishAttempt(TargetOutcome::Refused, false);
-    return AttemptResult::NotConnected;
-}
-
 GatewayRequest::AttemptResult GatewayRequest::onConnectFailed(const Error &error)
 {
     logEvent(LogLevel::Warning, "target-unreachable",
@@ -471,14 +441,6 @@
     return head.status >= StatusServerError ? AttemptResult::Failed : AttemptResult::Answered;
 }
 
-GatewayRequest::AttemptResult GatewayRequest::classifyPeerAnswer(const HttpAnswerHead &head)
-{
-    if (!m_peers.isRefusal(head, m_requestId, m_context.headers()))
-        return AttemptResult::Answered;
-    m_peers.onRefused(head, monotonicNow());
-    return AttemptResult::NotExecuted;
-}
-
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::readAnswer()
 {
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
--- a/packages/coordination/test/gateway/peer_forwarding_test.cpp
+++ b/packages/coordination/test/gateway/peer_forwarding_test.cpp
@@ -181,11 +181,13 @@
     CPPUNIT_TEST(callerDisconnectCancelsTheRequestAtThePeer);
     CPPUNIT_TEST(silentPeerTimesOutAtDeadline);
     CPPUNIT_TEST(unsentRequestMovesToAPeerOnSuspicion);
+    CPPUNIT_TEST(unreachableTargetsRaiseTheSuspicionThemselves);
     CPPUNIT_TEST(openPathUsesNoPeer);
     CPPUNIT_TEST(retriesAfterLostPeersAreBounded);
     CPPUNIT_TEST(refusalsByTargetsOfPeersDrawOnTheBudget);
     CPPUNIT_TEST(answerOfAPeerSaysNothingOfOwnTargets);
     CPPUNIT_TEST(logNamesThePeer);
+    CPPUNIT_TEST(logExplainsTheCause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -360,6 +362,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, stranded.sends());
     }
 
+    void unreachableTargetsRaiseTheSuspicionThemselves()
+    {
+        StrandedGateway stranded;
+        stranded.gateway().addClosedTarget();
+        stranded.gateway().addClosedTarget();
+        stranded.addPeer(success, "north");
+        stranded.startOnPath(RouteKind::NonIdempotent, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, stranded.sends());
+    }
+
     void openPathUsesNoPeer()
     {
         StrandedGateway stranded;
@@ -407,16 +420,41 @@
         });
         CPPUNIT_ASSERT(end != events.end());
         CPPUNIT_ASSERT_EQUAL(std::string("peer-0"), end->text("peer"));
-        const auto explanation = ggv::explainRequest("1", [&events](const auto &reader) {
+        const auto evidence = explain(output).evidence;
+        CPPUNIT_ASSERT(std::any_of(evidence.begin(), evidence.end(), [](const auto &it) {
+            return it.find("peer-0") != std::string::npos;
+        }));
+    }
+
+    void logExplainsTheCause()
+    {
+        assertExplained(connectionLost, "peer ended or garbled the exchange");
+        assertExplained(refusal, "peers refused the request");
+        assertExplained(nullptr, "no target and no peer");
+    }
+
+private:
+    static ggv::RequestExplanation explain(const CapturedOutput &output)
+    {
+        return ggv::explainRequest("1", [events = output.events()](const auto &reader) {
             for (const auto &it : events)
                 reader(it);
         });
-        CPPUNIT_ASSERT(
-            std::any_of(explanation.evidence.begin(), explanation.evidence.end(),
-                        [](const auto &it) { return it.find("peer-0") != std::string::npos; }));
     }
 
-private:
+    // A null script stands for a host without peers.
+    static void assertExplained(const ScriptedTarget::Script &script, const std::string &expected)
+    {
+        const CapturedOutput output;
+        StrandedGateway stranded;
+        if (script)
+            stranded.addPeer(script, "north");
+        stranded.start(RouteKind::NonIdempotent);
+        (void)stranded.status();
+        const auto cause = explain(output).cause;
+        CPPUNIT_ASSERT_MESSAGE(cause, cause.find(expected) != std::string::npos);
+    }
+
     // Requests that peers receive if the retry budget allows a single retry.
     static std::size_t sendsWithOneRetry(const ScriptedTarget::Script &script)
     {
