Keep callers' connections over lost probes and pauses in reading

Cause: with TCP_USER_TIMEOUT set, Linux ignores the number of unanswered keep-alive probes, so that with 1 s one lost probe closed a caller's idle or waiting connection after 2 s; a caller that acknowledged but did not read was reset after 1.3 s, far below the transfer time-out of 10 s. Result: lostProbeDoesNotCloseAKeptConnectionOfACaller and callerThatPausesReadingGetsTheWholeAnswer failed before and pass; unacknowledgedBytesEndTheConnection and unansweredProbesEndAnIdleConnection hold the times of targets (0.9-1.8 s, 1.8-2.8 s).

--- a/packages/coordination/test/gateway/scripted_target.hpp
+++ b/packages/coordination/test/gateway/scripted_target.hpp
@@ -2,6 +2,8 @@
 
 #include <ggv/state/model/entities.hpp>
 
+#include <net/packet_filter.hpp>
+
 #include <atomic>
 #include <functional>
 #include <mutex>
@@ -10,9 +12,6 @@
 #include <utility>
 #include <vector>
 
-#include <linux/filter.h>
-#include <sys/socket.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -63,10 +62,9 @@
     //! Runs on the event loop.
     void dropPackets(bool isDropping)
     {
-        m_isDropping = isDropping;
-        applyPacketFilter(m_acceptor.native_handle());
+        test::dropPackets(m_acceptor.native_handle(), isDropping);
         for (const int socket : m_sockets)
-            applyPacketFilter(socket);
+            test::dropPackets(socket, isDropping);
     }
 
     std::size_t acceptedConnections() const { return m_acceptedConnections; }
@@ -140,14 +138,6 @@
         m_requests.push_back(request);
     }
 
-    void applyPacketFilter(int socket) const
-    {
-        sock_filter dropAll { BPF_RET | BPF_K, 0, 0, 0 };
-        const sock_fprog program { 1, &dropAll };
-        ::setsockopt(socket, SOL_SOCKET, m_isDropping ? SO_ATTACH_FILTER : SO_DETACH_FILTER,
-                     &program, sizeof program);
-    }
-
     static std::size_t contentLengthOf(const std::string &head)
     {
         constexpr std::string_view Name = "Content-Length: ";
@@ -161,7 +151,6 @@
     boost::asio::ip::tcp::endpoint m_endpoint;
     Script m_script;
     std::set<int> m_sockets; //!< Established connections.
-    bool m_isDropping = false;
     std::atomic<std::size_t> m_acceptedConnections = 0;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -67,7 +67,7 @@
     {
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
-        enableDeadPeerDetection(m_socket);
+        enableDeadPeerDetection(m_socket, m_shared->limits.transferTimeout);
         m_overloaded = m_shared->connections.fetch_add(1) >= m_shared->limits.maxConnections;
     }
 
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
+//! Short, so that there is time left for another attempt.
+constexpr Duration PeerSilenceLimit = std::chrono::seconds(1);
 
 using RequestMessage = http::request<http::buffer_body>;
 using AnswerParser = http::response_parser<http::buffer_body>;
@@ -60,7 +62,7 @@
                         "cannot connect to " + m_peer.address + ":" + std::to_string(m_peer.port)
                             + ": " + (timedOut ? "deadline passed" : ec.message()));
         m_socket.set_option(tcp::no_delay(true), ec);
-        detail::enableDeadPeerDetection(m_socket);
+        detail::enableDeadPeerDetection(m_socket, PeerSilenceLimit);
     }
 
     asio::awaitable<void> sendHead(const HttpRequestHead &head, Instant deadline) override
--- a/packages/transport/ggv/transport/net/detail/dead_peer_detection.cpp
+++ b/packages/transport/ggv/transport/net/detail/dead_peer_detection.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-constexpr int UserTimeoutMillis = 1000;
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int KeepAliveProbeCount = 2;
 
 void setOption(int socket, int level, int name, int value) noexcept
 {
@@ -20,14 +18,14 @@
 
 } // namespace
 
-void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket) noexcept
+void enableDeadPeerDetection(boost::asio::ip::tcp::socket &socket, Duration limit) noexcept
 {
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
     const int handle = socket.native_handle();
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbeCount);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMillis);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(millis));
 }
 
 } // namespace ggv::detail
--- a/packages/transport/test/net/raw_socket.hpp
+++ b/packages/transport/test/net/raw_socket.hpp
@@ -79,6 +79,7 @@
         return m_received;
     }
 
+    int handle() { return m_socket.native_handle(); }
     void clearReceived() { m_received.clear(); }
     StreamEnd streamEnd() const noexcept { return m_streamEnd; }
 
