--- a/packages/state/test/health/target_path_monitor_test.cpp
+++ b/packages/state/test/health/target_path_monitor_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,14 +62,15 @@
 {
     return *rc::gen::container<std::vector<Observation>>(rc::gen::apply(
         [](std::size_t target, int kind, int wait) {
-            return Observation { target, kind == 0, wait * 250 * Millisecond };
+            return Observation { target, kind == 0, wait * Second };
         },
         rc::gen::inRange<std::size_t>(0, Domains * TargetsPerDomain), rc::gen::inRange(0, 8),
         rc::gen::inRange(0, 8)));
 }
 
-//! Reference: failures since the last connection that are recent at the time of the last one.
-bool expectsSuspicion(const std::vector<Observation> &observations)
+//! Reference: number of the first observation at which enough failures since the last connection
+//! are recent.
+std::optional<std::size_t> expectedSuspicion(const std::vector<Observation> &observations)
 {
     for (std::size_t end = 1; end <= observations.size(); ++end) {
         std::set<std::size_t> targets;
@@ -83,9 +85,9 @@
         }
         if (targets.size() >= TargetPathMonitor::MinFailedTargets
             && domains.size() >= TargetPathMonitor::MinFailedDomains)
-            return true;
+            return end - 1;
     }
-    return false;
+    return std::nullopt;
 }
 
 class TargetPathMonitorTest : public CppUnit::TestFixture
@@ -264,18 +266,17 @@
             const auto observations = randomObservations();
             auto monitor = monitorOf(Domains);
             Instant now = Start;
-            bool wasSuspected = false;
-            for (const auto &it : observations) {
-                now += it.wait;
-                if (it.isConnection)
+            std::optional<std::size_t> suspicion;
+            for (std::size_t n = 0; n < observations.size() && !suspicion; ++n) {
+                now += observations[n].wait;
+                if (observations[n].isConnection)
                     monitor.observeConnection(now);
                 else
-                    fail(monitor, it.target, now);
-                wasSuspected = !monitor.isOpen();
-                if (wasSuspected)
-                    break;
+                    fail(monitor, observations[n].target, now);
+                if (!monitor.isOpen())
+                    suspicion = n;
             }
-            RC_ASSERT(wasSuspected == expectsSuspicion(observations));
+            RC_ASSERT(suspicion == expectedSuspicion(observations));
         }));
     }
 
