Drop kept connections when the target path is open again

Cause: idle connections were closed when the path was lost, although they may live on while new ones are refused; after the loss they may be dead. Change: they are closed when the path is open again. Tests of the log lines, of kept connections and of targets that close each connection.

--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -127,9 +127,9 @@
     change.failedDomains = std::max(failedDomains, m_targetPath.failedDomains());
     change.lasted = now - std::exchange(m_targetPathChangedAt, now);
     if (state == TargetPathState::Lost)
-        takeBackEvidence();
+        m_targets.forgetFailures(m_targetPath.evidenceSince());
     else if (before == TargetPathState::Lost)
-        m_targetPathRestoredAt = now;
+        onTargetPathRestored(now);
     onTargetPathChange(change);
 }
 
@@ -157,10 +157,10 @@
     return m_targetPath.isOpen() && attemptedAt >= m_targetPathRestoredAt;
 }
 
-// Targets that failed before the suspicion are as warm as before, and kept connections may be dead.
-void GatewayContext::takeBackEvidence()
+void GatewayContext::onTargetPathRestored(Instant now)
 {
-    m_targets.forgetFailures(m_targetPath.evidenceSince());
+    m_targetPathRestoredAt = now;
+    // Targets may have closed idle connections without this host learning of it.
     for (const auto &it : m_targets.targets())
         m_connections.closeIdleConnections(it->listing().endpoint);
 }
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -118,7 +118,7 @@
     void resumeWaitingRequests();
     template <typename Observation>
     void updateTargetPath(Observation observe);
-    void takeBackEvidence();
+    void onTargetPathRestored(Instant now);
     [[nodiscard]] RetryBudget &budget(const ServiceName &service);
     [[nodiscard]] RetryBudgetPolicy budgetPolicy() const;
 
--- a/packages/coordination/test/gateway/target_path_test.cpp
+++ b/packages/coordination/test/gateway/target_path_test.cpp
@@ -1,6 +1,7 @@
 #include <ggv/coordination/gateway/target_path_prober.hpp>
 
 #include <gateway/gateway_fixture.hpp>
+#include <log/captured_output.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -26,10 +27,11 @@
 class PathFixture : public GatewayFixture
 {
 public:
-    explicit PathFixture(const std::vector<std::string> &domains = { "a", "a", "b", "b" })
+    explicit PathFixture(const std::vector<std::string> &domains = { "a", "a", "b", "b" },
+                         const ScriptedTarget::Script &script = success)
     {
         for (const auto &it : domains)
-            addTarget(success, it);
+            addTarget(script, it);
         // A target that seems to have restarted would serve next to nothing.
         ServicePolicy policy;
         policy.coldStart = seconds(30);
@@ -148,6 +150,9 @@
     CPPUNIT_TEST(refusedConnectionsInTwoDomainsAreALoss);
     CPPUNIT_TEST(allIsServedAtOnceAfterRefusedConnections);
     CPPUNIT_TEST(hangingConnectionsAreALossWithinTheContactTime);
+    CPPUNIT_TEST(eachChangeIsLoggedOnceWithItsEvidence);
+    CPPUNIT_TEST(keptConnectionsAreNotUsedAfterTheLoss);
+    CPPUNIT_TEST(targetsThatCloseEstablishedConnectionsAreNoLoss);
     CPPUNIT_TEST(lossOfOneDomainIsNoLossOfThePath);
     CPPUNIT_TEST(probeOfAnotherDomainRefutesTheSuspicion);
     CPPUNIT_TEST(openPathIsNotProbed);
@@ -201,6 +206,57 @@
         CPPUNIT_ASSERT_EQUAL(20, fixture.countServed(20));
     }
 
+    void eachChangeIsLoggedOnceWithItsEvidence()
+    {
+        const CapturedOutput output;
+        {
+            PathFixture fixture;
+            fixture.start();
+            fixture.refuseConnections();
+            for (int n = 0; n < 3; ++n)
+                fixture.call();
+            CPPUNIT_ASSERT(fixture.awaitChanges({ false }, seconds(1)));
+            fixture.acceptConnections();
+            CPPUNIT_ASSERT(fixture.awaitChanges({ false, true }, seconds(2)));
+        }
+        std::vector<std::string> changes;
+        for (const auto &it : output.events()) {
+            if (!it.event.starts_with("target-path-"))
+                continue;
+            changes.push_back(it.event);
+            CPPUNIT_ASSERT(it.text("failed_targets") >= "3");
+            CPPUNIT_ASSERT_EQUAL(std::string("2"), it.text("failed_domains"));
+        }
+        const std::vector<std::string> expected { "target-path-suspected", "target-path-lost",
+                                                  "target-path-open" };
+        CPPUNIT_ASSERT(changes == expected);
+    }
+
+    void keptConnectionsAreNotUsedAfterTheLoss()
+    {
+        PathFixture fixture;
+        fixture.start();
+        CPPUNIT_ASSERT_EQUAL(1, fixture.countServed(1));
+        fixture.refuseConnections();
+        fixture.failAllTargets();
+        CPPUNIT_ASSERT(fixture.awaitChanges({ false }, seconds(1)));
+        fixture.acceptConnections();
+        CPPUNIT_ASSERT(fixture.awaitChanges({ false, true }, seconds(2)));
+        fixture.runOnLoop([&] {
+            const auto endpoint = fixture.target(0).endpoint();
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fixture.context().connections().idle(endpoint));
+        });
+    }
+
+    void targetsThatCloseEstablishedConnectionsAreNoLoss()
+    {
+        PathFixture fixture({ "a", "a", "b", "b" }, connectionLost);
+        fixture.start();
+        CPPUNIT_ASSERT_EQUAL(0, fixture.countServed(5));
+        CPPUNIT_ASSERT(fixture.awaitChanges({}, Duration(0)));
+        CPPUNIT_ASSERT(fixture.state() == TargetPathState::Open);
+    }
+
     void lossOfOneDomainIsNoLossOfThePath()
     {
         PathFixture fixture({ "a", "a", "a", "b" });
