Check by a property that forwarded requests run at most once

Random peers that refuse, fail, cut or answer: at most three are asked, a non-idempotent request runs at most once, a refused one never, and each request logs one completion.

--- a/packages/coordination/test/gateway/peer_forwarding_test.cpp
+++ b/packages/coordination/test/gateway/peer_forwarding_test.cpp
@@ -4,9 +4,11 @@
 #include <ggv/state/log/request_explanation.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 namespace {
 
@@ -87,6 +89,43 @@
     { "success without a request id", ownSuccess, RouteKind::NonIdempotent, "502", 1 },
 };
 
+//! What a peer does with a request, and whether a target may have executed it then.
+struct PeerBehaviour
+{
+    ScriptedTarget::Script script; //!< Null if the peer cannot be reached.
+    bool mayExecute;
+};
+
+const std::vector<PeerBehaviour> &peerBehaviours()
+{
+    static const std::vector<PeerBehaviour> all {
+        { nullptr, false },
+        { refusal, false },
+        { tooManyRequests, false },
+        { requestTimeout, false },
+        { unknownRoute, false },
+        { pathLost, false },
+        { refusedByTargets, false },
+        { success, true },
+        { badGateway, true },
+        { gatewayTimeout, true },
+        { serverError, true },
+        { targetSaysNotFound, true },
+        { unavailableAfterExecution, true },
+        { connectionLost, true },
+        { truncated, true },
+        { wrongRequestId, true },
+        { answerWithoutMarker, true },
+    };
+    return all;
+}
+
+bool isCompletion(const ggv::LoggedEvent &event)
+{
+    return event.event == "request-answered" || event.event == "request-refused"
+        || event.event == "request-failed" || event.event == "request-abandoned";
+}
+
 //! A gateway that reaches no target, and scripted peers in the given regions.
 class StrandedGateway
 {
@@ -106,6 +145,19 @@
         addPeer({ nextName(), m_scripted.back()->endpoint(), RegionName(region) });
         return *m_scripted.back();
     }
+    void addPeer(const PeerBehaviour &behaviour, std::atomic<std::size_t> &executions)
+    {
+        if (!behaviour.script) {
+            addClosedPeer("north");
+            return;
+        }
+        addPeer(
+            [&behaviour, &executions](const std::string &request) {
+                executions += behaviour.mayExecute ? 1 : 0;
+                return behaviour.script(request);
+            },
+            "north");
+    }
     void addClosedPeer(const std::string &region)
     {
         boost::asio::ip::tcp::acceptor acceptor(m_pool.context(0),
@@ -169,6 +221,7 @@
     CPPUNIT_TEST_SUITE(PeerForwardingTest);
     CPPUNIT_TEST(callersOfAStrandedHostAreServed);
     CPPUNIT_TEST(eachAnswerOfAPeerGivesItsStatus);
+    CPPUNIT_TEST(requestsRunAtMostOnceAndRefusedOnesNever);
     CPPUNIT_TEST(peerGetsTheUnchangedRequestWithoutAnInstance);
     CPPUNIT_TEST(unreachablePeerIsReplacedForNonIdempotentRequest);
     CPPUNIT_TEST(cutAnswerIsNotPassedOn);
@@ -218,6 +271,33 @@
         }
     }
 
+    void requestsRunAtMostOnceAndRefusedOnesNever()
+    {
+        CPPUNIT_ASSERT(rc::check("peers execute a request at most once, and no refused one", [] {
+            const auto numbers = *rc::gen::container<std::vector<std::size_t>>(
+                rc::gen::inRange<std::size_t>(0, peerBehaviours().size()));
+            const bool isIdempotent = *rc::gen::arbitrary<bool>();
+            const bool isSuspected = *rc::gen::arbitrary<bool>();
+            std::atomic<std::size_t> executions = 0;
+            const CapturedOutput output;
+            StrandedGateway stranded;
+            for (const auto number : numbers)
+                stranded.addPeer(peerBehaviours()[number], executions);
+            if (isSuspected)
+                stranded.gateway().suspectPath();
+            else
+                stranded.gateway().losePath();
+            stranded.startOnPath(isIdempotent ? RouteKind::Idempotent : RouteKind::NonIdempotent);
+            const auto status = stranded.status();
+            RC_ASSERT(stranded.sends() <= ggv::PeerForwarding::MaxPeers);
+            RC_ASSERT(executions <= (isIdempotent ? 2 : 1));
+            RC_ASSERT(status != "503" || executions == 0);
+            RC_ASSERT(status != "429" && status != "408");
+            const auto events = output.events();
+            RC_ASSERT(std::count_if(events.begin(), events.end(), isCompletion) == 1);
+        }));
+    }
+
     void peerGetsTheUnchangedRequestWithoutAnInstance()
     {
         StrandedGateway stranded;
