--- a/packages/coordination/ggv/coordination/gateway/fwd.hpp
+++ b/packages/coordination/ggv/coordination/gateway/fwd.hpp
@@ -7,5 +7,7 @@
 class Gateway;
 class GatewayContext;
 class GatewayRequest;
+class PeerForwarding;
+class TargetPathProber;
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <ggv/coordination/fleet/entry_link.hpp>
 #include <ggv/coordination/gateway/gateway_request.hpp>
+#include <ggv/coordination/gateway/target_path_prober.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/http/http_server.hpp>
 
@@ -63,6 +64,14 @@
                     m_setup.bodyMemory)
     { }
 
+    ~Implementation()
+    {
+        if (m_prober)
+            m_prober->stop();
+    }
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
     static void logTargetChange(const TargetStatusChange &change)
     {
         logEvent(LogLevel::Info, "target-belief",
@@ -81,13 +90,8 @@
         m_context.targets().setObserver(&Implementation::logTargetChange);
         m_context.listAge = [this] { return m_link ? m_link->listAge() : Duration(0); };
         m_context.stateAge = [this] { return m_link ? m_link->stateAge() : Duration(0); };
-        m_server = HttpServer::listen(
-                       m_pool, m_setup.self.service, callerLimits(),
-                       [weak = weak_from_this()](ServerExchange &exchange) {
-                           return serve(weak.lock(), exchange);
-                       },
-                       errorAnswer)
-                       .value();
+        m_servers.push_back(listen(m_setup.self.service, RequestOrigin::Caller).value());
+        listenForPeers();
         m_link = EntryLink::start(
             m_pool.context(0), m_setup.self, m_setup.seeds,
             { [this](const FleetFeed &feed) { apply(feed); },
@@ -99,14 +103,44 @@
               [this](const std::vector<TargetStateReport> &reports) {
                   m_context.targets().applyStateReports(reports, monotonicNow());
               } });
+        m_prober
+            = TargetPathProber::start(m_pool.context(0), m_context, [this](bool reachesTargets) {
+                  m_link->setReachesTargets(reachesTargets);
+              });
         logEvent(LogLevel::Info, "gateway-started",
                  { { "address", m_setup.self.service.address } });
     }
 
+    Result<std::unique_ptr<HttpServer>> listen(const Endpoint &endpoint, RequestOrigin origin)
+    {
+        return HttpServer::listen(
+            m_pool, endpoint, callerLimits(),
+            [weak = weak_from_this(), origin](ServerExchange &exchange) {
+                return serve(weak.lock(), exchange, origin);
+            },
+            errorAnswer);
+    }
+
+    // A host that cannot serve peers still serves its callers.
+    void listenForPeers()
+    {
+        if (m_setup.self.internal.port == 0)
+            return;
+        auto server = listen(m_setup.self.internal, RequestOrigin::Peer);
+        if (server) {
+            m_servers.push_back(std::move(server).value());
+            return;
+        }
+        logEvent(LogLevel::Error, "forwarding-unavailable",
+                 { { "address", m_setup.self.internal.address },
+                   { "port", m_setup.self.internal.port },
+                   { "reason", server.error().what() } });
+    }
+
     static asio::awaitable<void> serve(std::shared_ptr<Implementation> self,
-                                       ServerExchange &exchange)
+                                       ServerExchange &exchange, RequestOrigin origin)
     {
-        const auto request = std::make_shared<GatewayRequest>(self->m_context, exchange);
+        const auto request = std::make_shared<GatewayRequest>(self->m_context, exchange, origin);
         co_await request->run();
     }
 
@@ -118,6 +152,7 @@
                      { { "before", m_entryHosts }, { "alive", feed.entryHosts } });
         m_entryHosts = feed.entryHosts;
         m_context.setEntryHosts(feed.entryHosts);
+        updatePeers(feed.forwardingPeers);
         const std::set<FailureDomainName> evacuated(feed.evacuated.begin(), feed.evacuated.end());
         if (evacuated != m_evacuated) {
             m_evacuated = evacuated;
@@ -128,6 +163,19 @@
         updateReady();
     }
 
+    void updatePeers(const std::vector<HostAnnouncement> &hosts)
+    {
+        if (hosts == m_peers)
+            return;
+        m_peers = hosts;
+        std::vector<ForwardingPeer> peers;
+        peers.reserve(hosts.size());
+        for (const auto &it : hosts)
+            peers.push_back({ it.name, it.internal, it.region });
+        logEvent(LogLevel::Info, "forwarding-peers-changed", { { "peers", peers.size() } });
+        m_context.forwardingPeers().update(std::move(peers));
+    }
+
     void applyConfiguration(std::uint64_t version, ByteView document)
     {
         try {
@@ -171,6 +219,7 @@
         for (const auto &it : targets)
             gauges.inFlight += it->inFlight();
         gauges.ready = ready();
+        gauges.reachesTargets = !m_context.targetPath().isLost();
         return m_context.metrics().text(gauges);
     }
 
@@ -185,26 +234,31 @@
         m_link->setReady(ready());
     }
 
-    void updateReachesTargets(bool reachesTargets) { m_link->setReachesTargets(reachesTargets); }
-
     bool continueShutdown()
     {
         const Duration passed = monotonicNow() - *m_shutdownStartedAt;
-        if (passed >= fractionOf(m_setup.shutdownGrace, PersistentServiceFraction))
-            m_server->closeAfterAnswers();
+        for (const auto &it : m_servers) {
+            if (passed >= fractionOf(m_setup.shutdownGrace, PersistentServiceFraction))
+                it->closeAfterAnswers();
+        }
         if (passed < fractionOf(m_setup.shutdownGrace, AcceptFraction))
             return false;
-        m_server->stopAccepting();
-        return m_server->activeRequests() == 0
-            || passed >= fractionOf(m_setup.shutdownGrace, ExitFraction);
+        std::size_t activeRequests = 0;
+        for (const auto &it : m_servers) {
+            it->stopAccepting();
+            activeRequests += it->activeRequests();
+        }
+        return activeRequests == 0 || passed >= fractionOf(m_setup.shutdownGrace, ExitFraction);
     }
 
     IoPool &m_pool;
     GatewaySetup m_setup;
     GatewayContext m_context;
-    std::unique_ptr<HttpServer> m_server;
+    std::vector<std::unique_ptr<HttpServer>> m_servers; //!< For callers and for peers.
     std::shared_ptr<EntryLink> m_link;
+    std::shared_ptr<TargetPathProber> m_prober;
     std::set<FailureDomainName> m_evacuated;
+    std::vector<HostAnnouncement> m_peers; //!< As last named by a control host.
     std::uint32_t m_entryHosts = 1;
     bool m_hasTargets = false;
     std::optional<Instant> m_shutdownStartedAt;
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
@@ -44,6 +44,11 @@
               .Name("ggv_gateway_attempt_seconds")
               .Help("Time of attempts at targets, by how they ended")
               .Register(m_registry);
+    prometheus::Family<prometheus::Counter> &m_forwarded
+        = prometheus::BuildCounter()
+              .Name("ggv_gateway_forwarded_total")
+              .Help("Requests sent to forwarding peers, by how they ended")
+              .Register(m_registry);
     prometheus::Family<prometheus::Counter> &m_retries
         = prometheus::BuildCounter()
               .Name("ggv_gateway_retries_total")
@@ -73,6 +78,11 @@
         .Observe(toSeconds(duration));
 }
 
+void GatewayMetrics::recordForwarding(std::string_view end)
+{
+    m_implementation->m_forwarded.Add({ { "end", std::string(end) } }).Increment();
+}
+
 void GatewayMetrics::recordRetry(bool allowed)
 {
     m_implementation->m_retries.Add({ { "allowed", allowed ? "yes" : "no" } }).Increment();
@@ -95,6 +105,8 @@
              static_cast<double>(gauges.inFlight));
     addGauge(gaugeRegistry, "ggv_gateway_ready", "1 while this host takes new work",
              gauges.ready ? 1 : 0);
+    addGauge(gaugeRegistry, "ggv_gateway_reaches_targets",
+             "0 while no target accepts connections of this host", gauges.reachesTargets ? 1 : 0);
     addGauge(gaugeRegistry, "ggv_log_lines_dropped", "Log lines that nobody read in time",
              static_cast<double>(droppedLogLines()));
     auto families = m_implementation->m_registry.Collect();
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
@@ -19,6 +19,7 @@
     std::size_t targets = 0;
     std::uint64_t inFlight = 0; //!< Requests in progress at targets.
     bool ready = false;
+    bool reachesTargets = true; //!< False while no target accepts connections of this host.
 };
 
 /**
@@ -40,6 +41,8 @@
     void recordRequest(std::string_view outcome, std::string_view reason, Duration total);
     //! Records an attempt at a target. @param end How it ended. @param duration Its duration.
     void recordAttempt(std::string_view end, Duration duration);
+    //! Records a request sent to a forwarding peer. @param end How it ended.
+    void recordForwarding(std::string_view end);
     //! Records a retry. @param allowed False if the retry budget was exhausted.
     void recordRetry(bool allowed);
     //! @return All metrics in the Prometheus text format.
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -7,6 +7,7 @@
 #include <net/raw_socket.hpp>
 
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -94,17 +95,18 @@
 class GatewayFixture
 {
 public:
-    GatewayFixture()
-        : m_context(m_pool.context(0), topology(), sampleHeaders(),
-                    { 1.0, std::chrono::seconds(1), 1000.0 }, BodyMemory)
+    explicit GatewayFixture(const RetryPolicy &retryPolicy
+                            = { 1.0, std::chrono::seconds(1), 1000.0 })
+        : m_context(m_pool.context(0), topology(), sampleHeaders(), retryPolicy, BodyMemory)
     { }
 
     static constexpr std::uint64_t BodyMemory = 64;
 
     ~GatewayFixture() { m_pool.stop(); }
 
-    void addTarget(ScriptedTarget::Script script)
+    void addTarget(ScriptedTarget::Script script, const std::string &domain = "a")
     {
+        m_domains.emplace_back(domain);
         m_targets.push_back(std::make_unique<ScriptedTarget>(m_pool.context(0), std::move(script)));
     }
 
@@ -115,22 +117,46 @@
         m_closed.push_back({ "127.0.0.1", acceptor.local_endpoint().port() });
     }
 
+    // Must be called before start().
+    void setAllowedRegions(std::vector<RegionName> regions)
+    {
+        m_allowedRegions = std::move(regions);
+    }
+    void setPeers(std::vector<ForwardingPeer> peers)
+    {
+        m_context.forwardingPeers().update(std::move(peers));
+    }
+    void suspectPath()
+    {
+        auto &path = m_context.targetPath();
+        for (std::size_t n = 0; n < TargetPathMonitor::MinFailedTargets; ++n) {
+            const auto number = std::to_string(n);
+            path.observeFailure("i" + number, FailureDomainName("d" + number), monotonicNow());
+        }
+    }
+    void losePath()
+    {
+        suspectPath();
+        m_context.targetPath().observeProbes(false, monotonicNow());
+    }
+
     // Starts the gateway with one route that allows the given number of attempts.
     void start(RouteKind kind, std::uint32_t attempts, bool withRoutes = true)
     {
         m_context.setTargets(list(), Duration(0));
         if (withRoutes)
             m_context.setRoutes(makeRoutes(kind, attempts));
-        m_server = HttpServer::listen(
-                       m_pool, { "127.0.0.1", 0 }, {},
-                       [this](ServerExchange &exchange) { return serve(exchange); },
-                       [](ResultCode, const std::string &) {
-                           return HttpAnswer { 400, {}, "" };
-                       })
-                       .value();
+        m_server = listen(RequestOrigin::Caller);
+        m_peerServer = listen(RequestOrigin::Peer);
         m_pool.start();
     }
 
+    // This gateway as a peer of another one.
+    ForwardingPeer asPeer(const std::string &name, const std::string &region) const
+    {
+        return { HostName(name), { "127.0.0.1", m_peerServer->port() }, RegionName(region) };
+    }
+
     RawSocket send(const std::string &remainingTime = "2000", const std::string &path = "/a/1",
                    const std::string &body = "body")
     {
@@ -156,6 +182,15 @@
 
     void shutDownAfter(Duration time) { m_context.setShutdownDeadline(monotonicNow() + time); }
 
+    std::vector<TargetStateReport> targetStateReports()
+    {
+        std::promise<std::vector<TargetStateReport>> reports;
+        boost::asio::post(m_pool.context(0), [&] {
+            reports.set_value(m_context.targets().takeStateReports(monotonicNow()));
+        });
+        return reports.get_future().get();
+    }
+
     std::size_t receivedRequests() const
     {
         std::size_t count = 0;
@@ -165,6 +200,12 @@
     }
 
     const ScriptedTarget &target(std::size_t number) const { return *m_targets[number]; }
+    ScriptedTarget &target(std::size_t number) { return *m_targets[number]; }
+    std::size_t targetCount() const { return m_targets.size(); }
+    GatewayContext &context() { return m_context; }
+    boost::asio::io_context &loop() { return m_pool.context(0); }
+    //! Sets the policy of the only service; call it before start().
+    void setServicePolicy(const ServicePolicy &policy) { m_servicePolicy = policy; }
 
 private:
     static Topology topology()
@@ -184,7 +225,8 @@
             target.instance = "t" + std::to_string(n);
             target.service = ServiceName("s");
             target.endpoint = endpoints[n];
-            target.domain = FailureDomainName("a");
+            target.domain
+                = n < m_closed.size() ? FailureDomainName("a") : m_domains[n - m_closed.size()];
             // The first target has the most slots, so that it is preferred.
             target.slots = n == 0 ? 1'000'000 : 1;
             list.targets.push_back(target);
@@ -192,7 +234,7 @@
         return list;
     }
 
-    static std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts)
+    std::shared_ptr<const RouteTable> makeRoutes(RouteKind kind, std::uint32_t attempts) const
     {
         Route route;
         route.name = "r";
@@ -203,25 +245,41 @@
         route.latencyObjective = std::chrono::milliseconds(100);
         route.maxAttempts = attempts;
         route.sticky = true;
+        route.allowedRegions = m_allowedRegions;
         route.services = { { ServiceName("s"), 1.0 } };
         RouteRules rules;
         rules.version = 1;
         rules.routes = { route };
-        rules.services[ServiceName("s")] = {};
+        rules.services[ServiceName("s")] = m_servicePolicy;
         return std::make_shared<const RouteTable>(RouteTable::create(rules).value());
     }
 
-    boost::asio::awaitable<void> serve(ServerExchange &exchange)
+    std::unique_ptr<HttpServer> listen(RequestOrigin origin)
+    {
+        return HttpServer::listen(
+                   m_pool, { "127.0.0.1", 0 }, {},
+                   [this, origin](ServerExchange &exchange) { return serve(exchange, origin); },
+                   [](ResultCode, const std::string &) {
+                       return HttpAnswer { 400, {}, "" };
+                   })
+            .value();
+    }
+
+    boost::asio::awaitable<void> serve(ServerExchange &exchange, RequestOrigin origin)
     {
-        const auto request = std::make_shared<GatewayRequest>(m_context, exchange);
+        const auto request = std::make_shared<GatewayRequest>(m_context, exchange, origin);
         co_await request->run();
     }
 
     IoPool m_pool { 1 };
     GatewayContext m_context;
     std::vector<std::unique_ptr<ScriptedTarget>> m_targets;
+    std::vector<FailureDomainName> m_domains; //!< Failure domain of each scripted target.
+    ServicePolicy m_servicePolicy;
     std::vector<Endpoint> m_closed;
+    std::vector<RegionName> m_allowedRegions;
     std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<HttpServer> m_peerServer;
     boost::asio::io_context m_callers;
 };
 
