End an exchange at its deadline though its peer sends without a pause

Cause: the timer of an operation acts only while the operation waits. Reading a stream that always has bytes completes each time before the timer's handler runs, so the deadline never came: the caller's request, its slot and its connection lasted as long as the target sent. Change: an operation whose deadline has passed isn't started, and the exchange fails as PeerSilent.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -192,9 +192,13 @@
     asio::awaitable<void> runOperation(Instant deadline, ResultCode failure, Operation operation)
     {
         boost::system::error_code ec;
-        m_timer.arm(deadline);
-        co_await operation(asio::redirect_error(asio::use_awaitable, ec));
-        const bool timedOut = m_timer.disarm();
+        // The timer never ends operations that complete at once: those of a peer that always sends.
+        bool timedOut = monotonicNow() >= deadline;
+        if (!timedOut) {
+            m_timer.arm(deadline);
+            co_await operation(asio::redirect_error(asio::use_awaitable, ec));
+            timedOut = m_timer.disarm();
+        }
         if (ec == http::error::need_buffer)
             ec = {};
         if (!ec && !timedOut && !m_cancelled)
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -1,6 +1,10 @@
 #include <http/http_client_fixture.hpp>
+#include <net/endless_sender.hpp>
 
-#include <thread>
+#include <algorithm>
+#include <vector>
+
+#include <malloc.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,14 +15,32 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::size_t MaxHeapGrowth = 1024UL * 1024;
+
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string InterimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
 
+//! A response that goes on without end.
+struct EndlessAnswer
+{
+    const char *name;
+    std::string start;
+    std::string pattern;
+};
+
+std::size_t heapBytes()
+{
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 class HttpClientEndlessTest : public HttpClientFixture
 {
     CPPUNIT_TEST_SUITE(HttpClientEndlessTest);
     CPPUNIT_TEST(answerInSmallPiecesPassesWhole);
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
+    CPPUNIT_TEST(endlessBodyEndsAtTheDeadline);
+    CPPUNIT_TEST(endlessBodyLeavesTheEventLoopToOtherCalls);
     CPPUNIT_TEST(bodyUntilClosePassesWhole);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +79,39 @@
         }
     }
 
+    void endlessBodyEndsAtTheDeadline()
+    {
+        for (const auto &it : endlessBodies()) {
+            const Instant startedAt = monotonicNow();
+            auto pending = call(limited(milliseconds(300)));
+            EndlessSender sender(accept(""), it.start, it.pattern);
+            const auto heapGrowth = finishMeasured(pending);
+            CPPUNIT_ASSERT_MESSAGE(it.name, (*pending)->fault == ResultCode::PeerSilent);
+            CPPUNIT_ASSERT_MESSAGE(it.name, monotonicNow() - startedAt < seconds(2));
+            CPPUNIT_ASSERT_MESSAGE(it.name, (*pending)->bodyBytes > 0);
+            CPPUNIT_ASSERT_MESSAGE(it.name, heapGrowth < MaxHeapGrowth);
+            CPPUNIT_ASSERT_MESSAGE(it.name, sender.waitForClose());
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
+        }
+    }
+
+    void endlessBodyLeavesTheEventLoopToOtherCalls()
+    {
+        for (const auto &it : endlessBodies()) {
+            auto endless = call(limited(milliseconds(500)));
+            EndlessSender sender(accept(""), it.start, it.pattern);
+            int answered = 0;
+            while (!*endless) {
+                auto other = call({});
+                auto peer = accept(CompleteAnswer);
+                const auto outcome = finish(other);
+                CPPUNIT_ASSERT_MESSAGE(it.name, !outcome.fault && outcome.body == "ok");
+                ++answered;
+            }
+            CPPUNIT_ASSERT_MESSAGE(it.name, answered > 10);
+        }
+    }
+
     void bodyUntilClosePassesWhole()
     {
         const std::string body(3UL * 1024 * 1024, 'x');
@@ -82,14 +137,31 @@
         return options;
     }
 
-    template <typename Condition>
-    void runUntil(Condition condition)
+    static std::vector<EndlessAnswer> endlessBodies()
+    {
+        return {
+            { "until close", "HTTP/1.1 200 OK\r\n\r\n", "x" },
+            { "giant length", "HTTP/1.1 200 OK\r\nContent-Length: 1152921504606846976\r\n\r\n",
+              "x" },
+            { "chunks", ChunkedHead, "2;a=b\r\nok\r\n" },
+            { "large chunks", ChunkedHead, "1000\r\n" + std::string(0x1000, 'x') + "\r\n" },
+            { "giant chunk", ChunkedHead + "1000000000000000\r\n", "x" },
+        };
+    }
+
+    // Runs the event loop until the call has ended. Returns the largest growth of the heap.
+    std::size_t finishMeasured(const Pending &pending)
     {
-        const auto limit = std::chrono::steady_clock::now() + seconds(5);
-        while (!condition() && std::chrono::steady_clock::now() < limit) {
+        const std::size_t before = heapBytes();
+        std::size_t most = before;
+        const auto limit = std::chrono::steady_clock::now() + seconds(WaitSeconds);
+        while (!*pending && std::chrono::steady_clock::now() < limit) {
             m_context.restart();
-            m_context.run_for(milliseconds(1));
+            m_context.run_one_until(limit);
+            most = std::max(most, heapBytes());
         }
+        CPPUNIT_ASSERT(pending->has_value());
+        return most - before;
     }
 };
 
--- a/packages/transport/test/http/http_client_fixture.hpp
+++ b/packages/transport/test/http/http_client_fixture.hpp
@@ -50,6 +50,9 @@
 class HttpClientFixture : public CppUnit::TestFixture
 {
 protected:
+    //! Steps of the event loop in which a call starts to connect.
+    static constexpr int StartSteps = 100;
+
     using Pending = std::shared_ptr<std::optional<Outcome>>;
 
     Endpoint endpoint() const { return { "127.0.0.1", m_port }; }
@@ -62,8 +65,10 @@
         boost::asio::co_spawn(
             m_context, [this, options, peer, pending] { return run(options, peer, pending); },
             boost::asio::detached);
+        // Not poll(): it would not return while another call reads an endless stream.
         m_context.restart();
-        m_context.poll();
+        for (int n = 0; n < StartSteps; ++n)
+            m_context.poll_one();
         return pending;
     }
 
--- a/packages/transport/test/net/raw_socket.hpp
+++ b/packages/transport/test/net/raw_socket.hpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,6 +46,18 @@
         boost::asio::write(m_socket, boost::asio::buffer(text.data(), text.size()), ignored);
     }
 
+    //! Sends what the connection takes without waiting. @return Number of bytes; nullopt if closed.
+    std::optional<std::size_t> trySend(std::string_view text)
+    {
+        const auto n = ::send(m_socket.native_handle(), text.data(), text.size(),
+                              MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (n >= 0)
+            return static_cast<std::size_t>(n);
+        if (errno == EAGAIN || errno == EWOULDBLOCK)
+            return 0;
+        return std::nullopt;
+    }
+
     void shutdownSend()
     {
         boost::system::error_code ignored;
@@ -63,6 +76,13 @@
         return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
+    bool isClosedByPeer()
+    {
+        char byte = 0;
+        const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     //! Reads until the text has been received, the peer closes or the wait times out.
     std::string readUntil(std::string_view text)
     {
