Bound the buffer of a connection to a target

Cause: the parser leaves a chunk header or a trailer in the connection's buffer until its end has come, and the buffer had no limit: a target that sends one without end took memory as fast as it could send, until the deadline. Change: the buffer holds at most 64 KiB, the limit of a head; what doesn't fit is no answer (TargetAnswerTruncated) and closes the connection.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -24,6 +24,7 @@
 
 namespace {
 
+//! Bounds a response head, and each chunk header and the trailer of a chunked body.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 
 using RequestMessage = http::request<http::buffer_body>;
@@ -223,7 +224,8 @@
     Endpoint m_peer;
     std::uint64_t m_generation;
     Instant m_idleSince {};
-    beast::flat_buffer m_buffer;
+    // The parser leaves in the buffer what it can't parse yet.
+    beast::flat_buffer m_buffer { MaxAnswerHeaderBytes };
     std::optional<OutgoingRequest> m_request;
     std::optional<AnswerParser> m_parser;
     std::optional<std::uint64_t> m_bodyLength;
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -16,6 +16,10 @@
 using std::chrono::seconds;
 
 constexpr std::size_t MaxHeapGrowth = 1024UL * 1024;
+//! Bytes that an endless sender may get rid of before its connection is closed: those that the
+//! client reads and those in the buffers of the kernel.
+constexpr std::size_t MaxSentBytes = 24UL * 1024 * 1024;
+constexpr std::size_t EndlessBytes = 64UL * 1024 * 1024;
 
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string InterimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
@@ -37,6 +41,7 @@
 class HttpClientEndlessTest : public HttpClientFixture
 {
     CPPUNIT_TEST_SUITE(HttpClientEndlessTest);
+    CPPUNIT_TEST(endlessChunkHeaderOrTrailerEndsAtItsLimit);
     CPPUNIT_TEST(answerInSmallPiecesPassesWhole);
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
     CPPUNIT_TEST(endlessBodyEndsAtTheDeadline);
@@ -45,6 +50,22 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void endlessChunkHeaderOrTrailerEndsAtItsLimit()
+    {
+        const std::vector<EndlessAnswer> cases {
+            { "chunk size", ChunkedHead, "0" },
+            { "chunk extension", ChunkedHead + "1;a=", "x" },
+            { "chunk extension after a chunk", ChunkedHead + "2\r\nok\r\n1;a=", "x" },
+            { "extension of the last chunk", ChunkedHead + "0;a=", "x" },
+            { "trailer line", ChunkedHead + "0\r\nA: ", "x" },
+            { "trailer lines", ChunkedHead + "0\r\n", "A: x\r\n" },
+        };
+        std::string failed;
+        for (const auto &it : cases)
+            failed += differenceFromRefusal(it, ResultCode::TargetAnswerTruncated);
+        CPPUNIT_ASSERT_EQUAL(std::string(), failed);
+    }
+
     void answerInSmallPiecesPassesWhole()
     {
         const std::string answer = InterimAnswer + ChunkedHead + "2;a=b\r\nok\r\n0\r\nA: b\r\n\r\n";
@@ -149,6 +170,24 @@
         };
     }
 
+    // Returns an empty text if the call ends with the code, within the bounds, and closes the
+    // connection.
+    std::string differenceFromRefusal(const EndlessAnswer &answer, ResultCode code)
+    {
+        auto pending = call(limited(seconds(5)));
+        EndlessSender sender(accept(""), answer.start, answer.pattern, EndlessBytes);
+        const auto heapGrowth = finishMeasured(pending);
+        const auto fault = (*pending)->fault.value_or(ResultCode::Ok);
+        const std::size_t sent = sender.sentBytes();
+        const bool isRefused = fault == code && heapGrowth < MaxHeapGrowth && sent < MaxSentBytes
+            && sender.waitForClose() && m_pool.idle(endpoint()) == 0;
+        if (isRefused)
+            return {};
+        return std::string(answer.name) + ": " + std::string(resultCodeName(fault)) + ", "
+            + std::to_string(heapGrowth) + " bytes of heap, " + std::to_string(sent)
+            + " bytes sent\n";
+    }
+
     // Runs the event loop until the call has ended. Returns the largest growth of the heap.
     std::size_t finishMeasured(const Pending &pending)
     {
