Count all bytes of a response head, also of lines that are parsed

Cause: the parser compares its limit with the bytes that it hasn't parsed yet. If what is received ends one or two bytes into a line, it takes the lines before it and starts counting anew, so header lines without end that arrive like this grew the head until the deadline.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 
 namespace ggv {
@@ -115,14 +116,13 @@
 
     asio::awaitable<HttpAnswerHead> readHead(Instant deadline) override
     {
+        m_headBytes = 0;
         do {
             m_parser.emplace();
             m_parser->header_limit(MaxAnswerHeaderBytes);
             m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
             m_parser->skip(m_isHeadRequest);
-            co_await runOperation(deadline, ResultCode::TargetConnectionLost, [this](auto token) {
-                return http::async_read_header(m_socket, m_buffer, *m_parser, token);
-            });
+            co_await parseHead(deadline);
         } while (m_parser->get().result_int() / 100 == 1);
         const auto head = detail::answerHeadOf(m_parser->get(), m_isHeadRequest);
         m_bodyUntilClose = !m_parser->is_done() && !head.contentLength && !m_parser->chunked();
@@ -189,21 +189,63 @@
     void markIdle(Instant now) noexcept { m_idleSince = now; }
 
 private:
+    // Not async_read_header(): its limit doesn't count the lines that it has parsed already.
+    asio::awaitable<void> parseHead(Instant deadline)
+    {
+        while (!m_parser->is_header_done()) {
+            boost::system::error_code ec = http::error::need_more;
+            if (m_buffer.size() > 0)
+                parseBuffer(ec);
+            if (ec == http::error::need_more)
+                co_await receive(deadline);
+            else if (ec)
+                throw refusal(ec.message());
+        }
+    }
+
+    void parseBuffer(boost::system::error_code &ec)
+    {
+        const std::size_t used = m_parser->put(m_buffer.data(), ec);
+        m_buffer.consume(used);
+        m_headBytes += used;
+        if (m_headBytes + m_buffer.size() >= MaxAnswerHeaderBytes && ec == http::error::need_more)
+            ec = http::error::header_limit;
+    }
+
+    asio::awaitable<void> receive(Instant deadline)
+    {
+        const auto space = m_buffer.prepare(beast::read_size(m_buffer, MaxAnswerHeaderBytes));
+        const std::size_t n = co_await runOperation(
+            deadline, ResultCode::TargetConnectionLost,
+            [this, space](auto token) { return m_socket.async_read_some(space, token); });
+        m_buffer.commit(n);
+    }
+
+    // Marks the connection as failed; what was received is no response.
+    Error refusal(const std::string &reason)
+    {
+        m_failed = true;
+        return Error(ResultCode::TargetConnectionLost,
+                     "connection to " + m_peer.address + ": " + reason);
+    }
+
     template <typename Operation>
-    asio::awaitable<void> runOperation(Instant deadline, ResultCode failure, Operation operation)
+    asio::awaitable<std::size_t> runOperation(Instant deadline, ResultCode failure,
+                                              Operation operation)
     {
         boost::system::error_code ec;
+        std::size_t size = 0;
         // The timer never ends operations that complete at once: those of a peer that always sends.
         bool timedOut = monotonicNow() >= deadline;
         if (!timedOut) {
             m_timer.arm(deadline);
-            co_await operation(asio::redirect_error(asio::use_awaitable, ec));
+            size = co_await operation(asio::redirect_error(asio::use_awaitable, ec));
             timedOut = m_timer.disarm();
         }
         if (ec == http::error::need_buffer)
             ec = {};
         if (!ec && !timedOut && !m_cancelled)
-            co_return;
+            co_return size;
         m_failed = true;
         if (m_cancelled)
             throw Error(ResultCode::CallerCancelled, "exchange was cancelled");
@@ -230,6 +272,7 @@
     std::optional<AnswerParser> m_parser;
     std::optional<std::uint64_t> m_bodyLength;
     std::uint64_t m_bodySent = 0;
+    std::size_t m_headBytes = 0;
     std::uint32_t m_exchangeCount = 0;
     bool m_isHeadRequest = false;
     bool m_requestStarted = false;
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -42,6 +42,7 @@
 {
     CPPUNIT_TEST_SUITE(HttpClientEndlessTest);
     CPPUNIT_TEST(endlessChunkHeaderOrTrailerEndsAtItsLimit);
+    CPPUNIT_TEST(headerLinesInSmallPiecesEndAtTheLimit);
     CPPUNIT_TEST(answerInSmallPiecesPassesWhole);
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
     CPPUNIT_TEST(endlessBodyEndsAtTheDeadline);
@@ -66,6 +67,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), failed);
     }
 
+    // Each piece ends after the first byte of a line, so that the parser takes line by line.
+    void headerLinesInSmallPiecesEndAtTheLimit()
+    {
+        auto pending = call(limited(seconds(5)));
+        auto peer = accept("HTTP/1.1 200 OK\r\nA");
+        const std::string piece = ": " + std::string(300, 'x') + "\r\nA";
+        for (int n = 0; n < 1000 && !*pending; ++n) {
+            peer.send(piece);
+            m_context.restart();
+            m_context.poll();
+        }
+        CPPUNIT_ASSERT(pending->has_value());
+        CPPUNIT_ASSERT((*pending)->fault == ResultCode::TargetConnectionLost);
+    }
+
     void answerInSmallPiecesPassesWhole()
     {
         const std::string answer = InterimAnswer + ChunkedHead + "2;a=b\r\nok\r\n0\r\nA: b\r\n\r\n";
