Refuse bytes that can't become a status line at once

Cause: the parser looks at a start line that comes in pieces of less than 8 bytes only when the whole head has come. Garbage in small pieces without end was read up to 64 KiB or, sent slowly, to the deadline: an idempotent request had no time left for another target. Change: what is received has to start like HTTP/1., however little it is.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -4,6 +4,7 @@
 #include <ggv/transport/http/detail/operation_timer.hpp>
 #include <ggv/transport/net/detail/dead_peer_detection.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
@@ -28,6 +29,9 @@
 //! Bounds a response head, and each chunk header and the trailer of a chunked body.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 
+//! Start of each response that the parser accepts.
+constexpr beast::string_view AnswerStart = "HTTP/1.";
+
 using RequestMessage = http::request<http::buffer_body>;
 using AnswerParser = http::response_parser<http::buffer_body>;
 
@@ -192,9 +196,12 @@
     // Not async_read_header(): its limit doesn't count the lines that it has parsed already.
     asio::awaitable<void> parseHead(Instant deadline)
     {
+        const std::size_t startOfHead = m_headBytes;
         while (!m_parser->is_header_done()) {
             boost::system::error_code ec = http::error::need_more;
-            if (m_buffer.size() > 0)
+            if (m_headBytes == startOfHead && !startsLikeAnswer())
+                ec = http::error::bad_version;
+            else if (m_buffer.size() > 0)
                 parseBuffer(ec);
             if (ec == http::error::need_more)
                 co_await receive(deadline);
@@ -203,6 +210,15 @@
         }
     }
 
+    // The parser looks at a start line that comes in small pieces only when the head has ended.
+    bool startsLikeAnswer() const
+    {
+        const auto bytes = m_buffer.cdata();
+        const beast::string_view start(static_cast<const char *>(bytes.data()),
+                                       std::min(bytes.size(), AnswerStart.size()));
+        return AnswerStart.starts_with(start);
+    }
+
     void parseBuffer(boost::system::error_code &ec)
     {
         const std::size_t used = m_parser->put(m_buffer.data(), ec);
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST_SUITE(HttpClientEndlessTest);
     CPPUNIT_TEST(endlessChunkHeaderOrTrailerEndsAtItsLimit);
     CPPUNIT_TEST(headerLinesInSmallPiecesEndAtTheLimit);
+    CPPUNIT_TEST(garbageInSmallPiecesIsAnErrorAtOnce);
     CPPUNIT_TEST(answerInSmallPiecesPassesWhole);
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
     CPPUNIT_TEST(endlessBodyEndsAtTheDeadline);
@@ -82,6 +83,21 @@
         CPPUNIT_ASSERT((*pending)->fault == ResultCode::TargetConnectionLost);
     }
 
+    void garbageInSmallPiecesIsAnErrorAtOnce()
+    {
+        for (const std::string bytes : { "x", "Hx", "HTTP/2", "HTTX", "\r\n", "http/1.1" }) {
+            auto pending = call(limited(milliseconds(500)));
+            auto peer = accept("");
+            for (const char byte : bytes) {
+                peer.send(std::string(1, byte));
+                m_context.restart();
+                m_context.poll();
+            }
+            const auto outcome = finish(pending);
+            CPPUNIT_ASSERT_MESSAGE(bytes, outcome.fault == ResultCode::TargetConnectionLost);
+        }
+    }
+
     void answerInSmallPiecesPassesWhole()
     {
         const std::string answer = InterimAnswer + ChunkedHead + "2;a=b\r\nok\r\n0\r\nA: b\r\n\r\n";
