Bound the interim responses before a response

Cause: interim responses (1xx) were read one after the other without a bound of their number, at first without any bound at all, since the limit of a head counted for each of them. Change: 8 may precede a response; one more ends the exchange. Their bytes count as part of the head.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -29,6 +29,8 @@
 //! Bounds a response head, and each chunk header and the trailer of a chunked body.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 
+//! Interim responses (1xx) that may precede a response.
+constexpr int MaxInterimAnswers = 8;
 //! Start of each response that the parser accepts.
 constexpr beast::string_view AnswerStart = "HTTP/1.";
 
@@ -121,13 +123,12 @@
     asio::awaitable<HttpAnswerHead> readHead(Instant deadline) override
     {
         m_headBytes = 0;
-        do {
-            m_parser.emplace();
-            m_parser->header_limit(MaxAnswerHeaderBytes);
-            m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-            m_parser->skip(m_isHeadRequest);
+        co_await parseHead(deadline);
+        for (int interim = 1; m_parser->get().result_int() / 100 == 1; ++interim) {
+            if (interim > MaxInterimAnswers)
+                throw refusal("too many interim responses");
             co_await parseHead(deadline);
-        } while (m_parser->get().result_int() / 100 == 1);
+        }
         const auto head = detail::answerHeadOf(m_parser->get(), m_isHeadRequest);
         m_bodyUntilClose = !m_parser->is_done() && !head.contentLength && !m_parser->chunked();
         co_return head;
@@ -196,6 +197,10 @@
     // Not async_read_header(): its limit doesn't count the lines that it has parsed already.
     asio::awaitable<void> parseHead(Instant deadline)
     {
+        m_parser.emplace();
+        m_parser->header_limit(MaxAnswerHeaderBytes);
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_parser->skip(m_isHeadRequest);
         const std::size_t startOfHead = m_headBytes;
         while (!m_parser->is_header_done()) {
             boost::system::error_code ec = http::error::need_more;
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -20,6 +20,7 @@
 //! client reads and those in the buffers of the kernel.
 constexpr std::size_t MaxSentBytes = 24UL * 1024 * 1024;
 constexpr std::size_t EndlessBytes = 64UL * 1024 * 1024;
+constexpr std::size_t InterimAnswersAllowed = 8;
 
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string InterimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
@@ -38,11 +39,21 @@
     return info.uordblks + info.hblkhd;
 }
 
+std::string repeated(const std::string &text, std::size_t count)
+{
+    std::string all;
+    for (std::size_t n = 0; n < count; ++n)
+        all += text;
+    return all;
+}
+
 class HttpClientEndlessTest : public HttpClientFixture
 {
     CPPUNIT_TEST_SUITE(HttpClientEndlessTest);
+    CPPUNIT_TEST(endlessHeadEndsAtItsLimit);
     CPPUNIT_TEST(endlessChunkHeaderOrTrailerEndsAtItsLimit);
     CPPUNIT_TEST(headerLinesInSmallPiecesEndAtTheLimit);
+    CPPUNIT_TEST(interimAnswersAreBounded);
     CPPUNIT_TEST(garbageInSmallPiecesIsAnErrorAtOnce);
     CPPUNIT_TEST(answerInSmallPiecesPassesWhole);
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
@@ -52,6 +63,26 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void endlessHeadEndsAtItsLimit()
+    {
+        const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+        const std::vector<EndlessAnswer> cases {
+            { "letters", "", "x" },
+            { "line ends", "", "\r\n" },
+            { "null bytes", "", std::string(1, '\0') },
+            { "status line", "HTTP/1.1 200 O", "K" },
+            { "header name", statusLine, "x" },
+            { "header value", statusLine + "A: ", "x" },
+            { "header lines", statusLine, "A: x\r\n" },
+            { "null bytes after the status line", statusLine, std::string(1, '\0') },
+            { "interim responses", "", InterimAnswer },
+        };
+        std::string failed;
+        for (const auto &it : cases)
+            failed += differenceFromRefusal(it, ResultCode::TargetConnectionLost);
+        CPPUNIT_ASSERT_EQUAL(std::string(), failed);
+    }
+
     void endlessChunkHeaderOrTrailerEndsAtItsLimit()
     {
         const std::vector<EndlessAnswer> cases {
@@ -83,6 +114,18 @@
         CPPUNIT_ASSERT((*pending)->fault == ResultCode::TargetConnectionLost);
     }
 
+    void interimAnswersAreBounded()
+    {
+        auto allowed = call(limited(seconds(5)));
+        auto peer = accept(repeated(InterimAnswer, InterimAnswersAllowed) + CompleteAnswer);
+        const auto outcome = finish(allowed);
+        CPPUNIT_ASSERT(!outcome.fault && outcome.body == "ok");
+        const auto refused
+            = exchange(peer, repeated(InterimAnswer, InterimAnswersAllowed + 1) + CompleteAnswer);
+        CPPUNIT_ASSERT(refused.fault == ResultCode::TargetConnectionLost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
+    }
+
     void garbageInSmallPiecesIsAnErrorAtOnce()
     {
         for (const std::string bytes : { "x", "Hx", "HTTP/2", "HTTX", "\r\n", "http/1.1" }) {
