Refuse a response that switches the protocol

Cause: 101 was taken as an interim response and the bytes after it as the response to the request. No request that is sent on asks for another protocol, so these bytes are no response. Change: 101 ends the exchange as TargetConnectionLost.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -125,6 +125,8 @@
         m_headBytes = 0;
         co_await parseHead(deadline);
         for (int interim = 1; m_parser->get().result_int() / 100 == 1; ++interim) {
+            if (m_parser->get().result() == http::status::switching_protocols)
+                throw refusal("a change of the protocol that no request asks for");
             if (interim > MaxInterimAnswers)
                 throw refusal("too many interim responses");
             co_await parseHead(deadline);
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(endlessChunkHeaderOrTrailerEndsAtItsLimit);
     CPPUNIT_TEST(headerLinesInSmallPiecesEndAtTheLimit);
     CPPUNIT_TEST(interimAnswersAreBounded);
+    CPPUNIT_TEST(switchedProtocolIsAnError);
     CPPUNIT_TEST(garbageInSmallPiecesIsAnErrorAtOnce);
     CPPUNIT_TEST(answerInSmallPiecesPassesWhole);
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
@@ -126,6 +127,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
     }
 
+    // No request asks for another protocol, and what follows is no response.
+    void switchedProtocolIsAnError()
+    {
+        auto pending = call(limited(seconds(5)));
+        auto peer = accept("HTTP/1.1 101 Switching Protocols\r\n\r\n" + CompleteAnswer);
+        CPPUNIT_ASSERT(finish(pending).fault == ResultCode::TargetConnectionLost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
+    }
+
     void garbageInSmallPiecesIsAnErrorAtOnce()
     {
         for (const std::string bytes : { "x", "Hx", "HTTP/2", "HTTX", "\r\n", "http/1.1" }) {
