Close an idle connection as soon as its target sends or closes

Cause: a connection with nothing left over was kept for reuse and looked at again only when the next request chose it. A target that goes on sending after a complete answer kept it open, filled its receive buffer and held one of the target's connections, without end if no request came. Change: the pool waits for input on each idle connection and closes it at once. The check before a reuse stays.

--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -5,6 +5,7 @@
 #include <ggv/transport/net/detail/dead_peer_detection.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -190,6 +191,25 @@
         ++m_exchangeCount;
     }
 
+    // Calls the function once if the peer sends or closes before stopIdleWatch().
+    void watchIdle(std::function<void()> onInput)
+    {
+        m_onIdleInput = std::make_shared<std::function<void()>>(std::move(onInput));
+        m_socket.async_wait(tcp::socket::wait_read,
+                            [weak = std::weak_ptr(m_onIdleInput)](boost::system::error_code ec) {
+                                const auto handler = weak.lock();
+                                if (!ec && handler)
+                                    (*handler)();
+                            });
+    }
+
+    void stopIdleWatch()
+    {
+        boost::system::error_code ignored;
+        m_onIdleInput.reset();
+        m_socket.cancel(ignored);
+    }
+
     const Endpoint &peer() const noexcept { return m_peer; }
     std::uint64_t generation() const noexcept { return m_generation; }
     Instant idleSince() const noexcept { return m_idleSince; }
@@ -289,6 +309,7 @@
     Endpoint m_peer;
     std::uint64_t m_generation;
     Instant m_idleSince {};
+    std::shared_ptr<std::function<void()>> m_onIdleInput;
     // The parser leaves in the buffer what it can't parse yet.
     beast::flat_buffer m_buffer { MaxAnswerHeaderBytes };
     std::optional<OutgoingRequest> m_request;
@@ -322,6 +343,7 @@
         while (!peer.idle.empty()) {
             auto connection = std::move(peer.idle.back());
             peer.idle.pop_back();
+            connection->stopIdleWatch();
             const bool withinIdleTimeout = monotonicNow() - connection->idleSince() < m_idleTimeout;
             if (withinIdleTimeout && connection->isOpenWithoutInput())
                 return connection;
@@ -329,6 +351,12 @@
         return nullptr;
     }
 
+    void closeIdle(const ClientConnection *connection)
+    {
+        auto &idle = m_peers[connection->peer()].idle;
+        std::erase_if(idle, [connection](const auto &it) { return it.get() == connection; });
+    }
+
     asio::io_context &m_context;
     std::size_t m_maxIdlePerPeer;
     Duration m_idleTimeout;
@@ -370,6 +398,8 @@
     connection->markIdle(monotonicNow());
     exchange.release(); // NOLINT(bugprone-unused-return-value): owned by the list below.
     peerConnections.idle.emplace_back(connection);
+    connection->watchIdle(
+        [pool = m_implementation.get(), connection] { pool->closeIdle(connection); });
 }
 
 void HttpClientPool::closeIdleConnections(const Endpoint &peer)
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(drippingAnswerEndsAtTheDeadline);
     CPPUNIT_TEST(endlessBodyEndsAtTheDeadline);
     CPPUNIT_TEST(endlessBodyLeavesTheEventLoopToOtherCalls);
+    CPPUNIT_TEST(endlessBytesAfterAnswerCloseTheConnection);
     CPPUNIT_TEST(bodyUntilClosePassesWhole);
     CPPUNIT_TEST_SUITE_END();
 
@@ -218,6 +219,20 @@
         }
     }
 
+    // The bytes may come after the connection has become idle.
+    void endlessBytesAfterAnswerCloseTheConnection()
+    {
+        for (const std::string pattern : { "x", CompleteAnswer.c_str() }) {
+            auto pending = call(limited(seconds(WaitSeconds)));
+            EndlessSender sender(accept(""), CompleteAnswer, pattern);
+            const auto outcome = finish(pending);
+            CPPUNIT_ASSERT_MESSAGE(pattern, !outcome.fault && outcome.body == "ok");
+            runUntil([&] { return sender.isClosed(); });
+            CPPUNIT_ASSERT_MESSAGE(pattern, sender.isClosed());
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, m_pool.idle(endpoint()));
+        }
+    }
+
     void bodyUntilClosePassesWhole()
     {
         const std::string body(3UL * 1024 * 1024, 'x');
@@ -273,6 +288,16 @@
             + " bytes sent\n";
     }
 
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + seconds(5);
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            m_context.restart();
+            m_context.run_for(milliseconds(1));
+        }
+    }
+
     // Runs the event loop until the call has ended. Returns the largest growth of the heap.
     std::size_t finishMeasured(const Pending &pending)
     {
