Never retry a request whose answer has started

Callers saw: bytes of a second answer, head included, within the body of the first, and the whole as a success, if a target broke off after 64 KiB of a long answer on an idempotent route. Cause: the decision to retry looked at the kind of the route and the attempts left, not at what the caller had already got. Answers over 64 KiB are passed on as they come; the second attempt wrote its answer on the same connection. Change: nothing is retried once the answer has started; the caller's connection is reset.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -232,6 +232,9 @@
 
 bool GatewayRequest::shouldRetry(AttemptResult end)
 {
+    // A second answer would reach the caller as a part of the first one's body.
+    if (m_caller.answerStarted())
+        return false;
     if (*m_callerDisconnected || remainingTime() < MinTargetTime)
         return false;
     switch (end) {
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST_SUITE(GatewayRequestTest);
     CPPUNIT_TEST(eachTargetFailureGivesItsStatus);
     CPPUNIT_TEST(retryAfterTruncationGivesCompleteAnswer);
+    CPPUNIT_TEST(answerThatIsCutAfterItsStartIsNotRetried);
     CPPUNIT_TEST(answers503IfNoTargetExecuted);
     CPPUNIT_TEST(unreachableTargetIsReplacedForNonIdempotentRequest);
     CPPUNIT_TEST(attemptsAreBounded);
@@ -97,6 +98,33 @@
         CPPUNIT_ASSERT(text.find(MarkerHeader) != std::string::npos);
     }
 
+    // A second answer would be read as the rest of the first one's body.
+    void answerThatIsCutAfterItsStartIsNotRetried()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader;
+        const std::string body(200'000, 'x');
+        const std::string lengthOfBody = "Content-Length: " + std::to_string(body.size());
+        const auto second = answer("200", IdHeader + MarkerHeader, body);
+        for (const std::string &first :
+             { head + lengthOfBody + "\r\n\r\n" + body.substr(0, 100'000),
+               head + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + body.substr(0, 100'000) }) {
+            GatewayFixture fixture;
+            fixture.addTarget([&](const std::string &) {
+                return ScriptedAnswer { first, true, false };
+            });
+            fixture.addTarget([&](const std::string &) {
+                return ScriptedAnswer { second, false, false };
+            });
+            fixture.start(RouteKind::Idempotent, 2);
+            auto caller = fixture.send();
+            const auto text = caller.readToEnd();
+            CPPUNIT_ASSERT(caller.streamEnd() == StreamEnd::Reset);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, text.rfind("HTTP/1.1 200"));
+            CPPUNIT_ASSERT(text.size() < body.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fixture.receivedRequests());
+        }
+    }
+
     void answers503IfNoTargetExecuted()
     {
         GatewayFixture fixture;
