Retry a rejected request without waiting for the rejection's body

Callers saw: 504, or 502 for a cut body, for requests that a target had rejected with a head saying that it hadn't executed them, although another target was free. Cause: the gateway read a rejection's body to its end before it went on, up to the deadline, and took a fault of the body as one of an executed request. The attempt counts as not executed in any case.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -1,5 +1,6 @@
 #include <ggv/coordination/gateway/gateway_request.hpp>
 
+#include <ggv/coordination/gateway/discard_body.hpp>
 #include <ggv/coordination/gateway/header_values.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/state/routing/target_affinity.hpp>
@@ -424,8 +425,8 @@
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
     const auto end = classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
-        std::array<std::uint8_t, ChunkBytes> chunk;
-        while (co_await m_exchange->readBody(chunk, m_deadline) > 0) { }
+        if (const auto failure = co_await discardBody(*m_exchange, head, m_deadline))
+            logUnreadBody(*failure);
         finishAttempt(TargetOutcome::Overloaded, true);
         co_return end;
     }
@@ -433,6 +434,15 @@
     co_return co_await forwardAnswer(std::move(head));
 }
 
+void GatewayRequest::logUnreadBody(const Error &error) const
+{
+    logEvent(LogLevel::Info, "rejection-body-unread",
+             { { "request", m_requestId },
+               { "target", m_choice.target ? m_choice.target->listing().instance : "" },
+               { "code", std::string(resultCodeName(error.code())) },
+               { "reason", error.what() } });
+}
+
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::forwardAnswer(HttpAnswerHead head)
 {
     Bytes buffered;
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -63,6 +63,7 @@
     [[nodiscard]] AttemptResult onAttemptFailed(const Error &error);
     [[nodiscard]] AttemptResult onConnectFailed(const Error &error);
     void logRetry(AttemptResult end) const;
+    void logUnreadBody(const Error &error) const;
     void recordTargetState(const HttpAnswerHead &head);
     void recordRetryAfter(const HttpAnswerHead &head);
     void finishAttempt(std::optional<TargetOutcome> outcome, bool reusable);
--- a/packages/coordination/test/gateway/scripted_target.hpp
+++ b/packages/coordination/test/gateway/scripted_target.hpp
@@ -3,6 +3,7 @@
 #include <ggv/state/model/entities.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -16,6 +17,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -27,6 +29,8 @@
     std::string bytes;
     bool close = false; //!< Closes the connection after sending the bytes.
     bool silent = false; //!< Sends no response and waits for the peer to close.
+    std::string pattern = {}; //!< Sent again and again after the bytes, until the peer closes.
+    std::chrono::milliseconds pause { 0 }; //!< Time between two repetitions of the pattern.
 };
 
 //! Fake target that sends the bytes chosen by a script. Runs on one event loop.
@@ -51,6 +55,7 @@
     }
 
     bool peerClosed() const { return m_peerClosed; }
+    std::size_t connections() const { return m_connections; }
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
@@ -59,6 +64,7 @@
     {
         while (true) {
             Socket socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            ++m_connections;
             boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)),
                                   boost::asio::detached);
         }
@@ -92,12 +98,32 @@
             co_await boost::asio::async_write(
                 socket, boost::asio::buffer(answer.bytes),
                 boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            if (!answer.pattern.empty())
+                co_await repeatPattern(socket, answer, ec);
+            if (ec)
+                break;
             if (answer.close)
                 co_return;
         }
         m_peerClosed = true;
     }
 
+    boost::asio::awaitable<void> repeatPattern(Socket &socket, const ScriptedAnswer &answer,
+                                               boost::system::error_code &ec)
+    {
+        std::string block = answer.pattern;
+        while (answer.pause.count() == 0 && block.size() < MinBlockBytes)
+            block += answer.pattern;
+        boost::asio::steady_timer timer(socket.get_executor());
+        while (!ec) {
+            co_await boost::asio::async_write(
+                socket, boost::asio::buffer(block),
+                boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            timer.expires_after(answer.pause);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+    }
+
     void recordRequest(const std::string &request)
     {
         const std::scoped_lock lock(m_mutex);
@@ -111,6 +137,7 @@
         return at == std::string::npos ? 0 : std::stoul(head.substr(at + Name.size()));
     }
 
+    static constexpr std::size_t MinBlockBytes = 16UL * 1024;
     static constexpr std::string_view HeadEnd = "\r\n\r\n";
 
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -118,6 +145,7 @@
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::atomic<bool> m_peerClosed = false;
+    std::atomic<std::size_t> m_connections = 0;
 };
 
 } // namespace ggv::test
