Look up hop-by-hop headers in time that doesn't grow with the head

Cause: for each header, all headers were searched for Connection. A head of 60,000 bytes in short lines, a target's or a caller's, kept the event loop and with it all other requests on it from going on. Change: HopByHopHeaders collects the listed names once. This also mends that the request driver of the own interface searched the list that it was just removing headers from (no test of its own).

--- a/packages/coordination/ggv/coordination/entry/request_driver.cpp
+++ b/packages/coordination/ggv/coordination/entry/request_driver.cpp
@@ -311,8 +311,9 @@
 HttpRequestHead RequestDriver::forwardedHead() const
 {
     HttpRequestHead head = m_caller.head();
-    std::erase_if(head.headers, [&head](const HttpHeader &header) {
-        return isSystemHeader(header.name) || isHopByHop(head.headers, header.name)
+    const HopByHopHeaders hopByHop(head.headers);
+    std::erase_if(head.headers, [&hopByHop](const HttpHeader &header) {
+        return isSystemHeader(header.name) || hopByHop.contains(header.name)
             || equalsIgnoreCase(header.name, "Expect");
     });
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -362,8 +363,9 @@
 HttpAnswerHead RequestDriver::answerHead(const HttpAnswerHead &head) const
 {
     HttpAnswerHead forwarded = head;
-    std::erase_if(forwarded.headers, [&head](const HttpHeader &header) {
-        return isSystemHeader(header.name) || isHopByHop(head.headers, header.name)
+    const HopByHopHeaders hopByHop(head.headers);
+    std::erase_if(forwarded.headers, [&hopByHop](const HttpHeader &header) {
+        return isSystemHeader(header.name) || hopByHop.contains(header.name)
             || equalsIgnoreCase(header.name, TargetStateHeader);
     });
     forwarded.headers.push_back({ std::string(ResultHeader), "0 ok" });
@@ -499,8 +501,9 @@
     m_storedAnswer.status = head.status;
     if (!isNonIdempotent())
         return;
+    const HopByHopHeaders hopByHop(head.headers);
     for (const auto &[name, value] : head.headers) {
-        if (!isHopByHop(head.headers, name) && !equalsIgnoreCase(name, "Content-Length"))
+        if (!hopByHop.contains(name) && !equalsIgnoreCase(name, "Content-Length"))
             m_storedAnswer.headers.emplace_back(name, value);
     }
 }
--- a/packages/coordination/test/gateway/gateway_endless_answer_test.cpp
+++ b/packages/coordination/test/gateway/gateway_endless_answer_test.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(endlessBodyLeavesTheEventLoopToOtherRequests);
     CPPUNIT_TEST(endlessBytesAfterAnswerDoNotReachTheCaller);
     CPPUNIT_TEST(longBodyUntilClosePassesWhole);
+    CPPUNIT_TEST(manyShortHeaderLinesCostLittleTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -200,6 +201,24 @@
             std::count(text.begin() + static_cast<std::ptrdiff_t>(bodyAt), text.end(), 'y'));
     }
 
+    // Also with as many names in the Connection header.
+    void manyShortHeaderLinesCostLittleTime()
+    {
+        std::string lines;
+        std::string names = "b";
+        while (lines.size() < 30'000)
+            lines += "a:\r\n";
+        while (names.size() < 30'000)
+            names += ",b";
+        for (const std::string &head : { lines + lines, lines + "Connection: " + names + "\r\n" }) {
+            const std::string bytes = Success + head + "Content-Length: 5\r\n\r\nwhole";
+            const std::string failed
+                = differenceOf("short lines", stopped(bytes, false), RouteKind::NonIdempotent,
+                               "200", 1, false, milliseconds(300));
+            CPPUNIT_ASSERT_EQUAL(std::string(), failed);
+        }
+    }
+
 private:
     static std::string difference(const EndlessCase &it, RouteKind kind, const std::string &status,
                                   std::size_t requests)
@@ -211,7 +230,7 @@
     // target's connection is closed.
     static std::string differenceOf(const std::string &name, ScriptedTarget::Script script,
                                     RouteKind kind, const std::string &status, std::size_t requests,
-                                    bool closedByGateway)
+                                    bool closedByGateway, milliseconds maxTime = milliseconds(1000))
     {
         GatewayFixture fixture;
         fixture.addTarget(std::move(script));
@@ -222,7 +241,7 @@
         const auto elapsed = std::chrono::duration_cast<milliseconds>(
             std::chrono::steady_clock::now() - startedAt);
         const bool isExpected = text.substr(9, 3) == status
-            && fixture.receivedRequests() == requests && elapsed < milliseconds(1000)
+            && fixture.receivedRequests() == requests && elapsed < maxTime
             && (!closedByGateway || isEndedSoon(fixture.target(0)));
         if (isExpected)
             return {};
--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -125,8 +125,9 @@
 
 void copyHeaders(http::fields &fields, const HttpHeaders &headers)
 {
+    const HopByHopHeaders hopByHop(headers);
     for (const auto &[name, value] : headers) {
-        if (!isHopByHop(headers, name) && !equalsIgnoreCase(name, "Content-Length"))
+        if (!hopByHop.contains(name) && !equalsIgnoreCase(name, "Content-Length"))
             fields.insert(name, value);
     }
 }
--- a/packages/transport/ggv/transport/http/http_types.cpp
+++ b/packages/transport/ggv/transport/http/http_types.cpp
@@ -27,12 +27,13 @@
     return { text.data(), text.size() };
 }
 
-bool isListedInConnectionHeader(const HttpHeaders &headers, std::string_view name)
+std::string lowerCase(std::string_view text)
 {
-    return std::any_of(headers.begin(), headers.end(), [name](const HttpHeader &header) {
-        return equalsIgnoreCase(header.name, "Connection")
-            && boost::beast::http::token_list(beastView(header.value)).exists(beastView(name));
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](char it) {
+        return it >= 'A' && it <= 'Z' ? static_cast<char>(it - 'A' + 'a') : it;
     });
+    return lower;
 }
 
 } // namespace
@@ -50,12 +51,25 @@
     return it == headers.end() ? nullptr : &it->value;
 }
 
-bool isHopByHop(const HttpHeaders &headers, std::string_view name)
+HopByHopHeaders::HopByHopHeaders(const HttpHeaders &headers)
+{
+    for (const auto &[name, value] : headers) {
+        if (!equalsIgnoreCase(name, "Connection"))
+            continue;
+        for (const auto &token : boost::beast::http::token_list(beastView(value)))
+            m_listed.push_back(lowerCase({ token.data(), token.size() }));
+    }
+    std::sort(m_listed.begin(), m_listed.end());
+}
+
+bool HopByHopHeaders::contains(std::string_view name) const
 {
     const bool isKnownHopByHop
         = std::any_of(HopByHopNames.begin(), HopByHopNames.end(),
                       [name](std::string_view it) { return equalsIgnoreCase(it, name); });
-    return isKnownHopByHop || isListedInConnectionHeader(headers, name);
+    return isKnownHopByHop
+        || (!m_listed.empty()
+            && std::binary_search(m_listed.begin(), m_listed.end(), lowerCase(name)));
 }
 
 } // namespace ggv
--- a/packages/transport/ggv/transport/http/http_types.hpp
+++ b/packages/transport/ggv/transport/http/http_types.hpp
@@ -32,8 +32,17 @@
 [[nodiscard]] const std::string *findHeader(const HttpHeaders &headers,
                                             std::string_view name) noexcept;
 
-//! @return True if the header field is hop-by-hop and must not be forwarded.
-[[nodiscard]] bool isHopByHop(const HttpHeaders &headers, std::string_view name);
+//! Names of the header fields of one message that are hop-by-hop and must not be forwarded.
+class HopByHopHeaders
+{
+public:
+    //! Collects the names that the Connection fields list.
+    explicit HopByHopHeaders(const HttpHeaders &headers);
+    [[nodiscard]] bool contains(std::string_view name) const;
+
+private:
+    std::vector<std::string> m_listed; //!< In lower case, sorted.
+};
 
 //! Compares header names and tokens case-insensitively.
 [[nodiscard]] bool equalsIgnoreCase(std::string_view one, std::string_view other) noexcept;
