Bound the buffer of a caller's connection

Change: the buffer holds at most the limit of a head and 4 KiB; a request that needs more is malformed (400).

--- a/packages/transport/ggv/transport/http/detail/server_connection.cpp
+++ b/packages/transport/ggv/transport/http/detail/server_connection.cpp
@@ -64,6 +64,7 @@
         : m_socket(std::move(socket))
         , m_shared(std::move(shared))
         , m_timer(m_socket)
+        , m_buffer(m_shared->limits.maxHeaderBytes + ReadChunkBytes)
     {
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
@@ -409,6 +410,7 @@
     tcp::socket m_socket;
     std::shared_ptr<SharedServerState> m_shared;
     OperationTimer m_timer;
+    // The parser leaves in the buffer what it can't parse yet.
     beast::flat_buffer m_buffer;
     std::optional<RequestParser> m_parser;
     std::optional<StreamedAnswer> m_answer;
--- a/packages/transport/test/http/http_server_test.cpp
+++ b/packages/transport/test/http/http_server_test.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST_SUITE(HttpServerTest);
     CPPUNIT_TEST(malformedRequestsAreRejectedAndLaterRequestsNotExecuted);
     CPPUNIT_TEST(absoluteFormAuthorityReplacesTheHostHeader);
+    CPPUNIT_TEST(chunkHeaderOrTrailerBeyondTheLimitIsRefused);
     CPPUNIT_TEST(slowSendersGetRequestTimeout);
     CPPUNIT_TEST(closeDuringRequestDoesNotAffectOtherConnections);
     CPPUNIT_TEST(continueIsSentBeforeTheBodyIsRead);
@@ -152,6 +153,19 @@
         CPPUNIT_ASSERT_EQUAL(2, executionsOf("/seen"));
     }
 
+    void chunkHeaderOrTrailerBeyondTheLimitIsRefused()
+    {
+        const std::string chunked = "Transfer-Encoding: chunked\r\n";
+        const std::string excess(100'000, 'x');
+        for (const std::string start : { "1;a=", "1\r\nx\r\n1;a=", "0;a=", "0\r\nA: " }) {
+            auto socket = open();
+            socket.send(request("/long", chunked, start + excess));
+            const auto answer = socket.readToEnd();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(start, statusLine(400), answer.substr(0, 12));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, executionsOf("/long"));
+    }
+
     void slowSendersGetRequestTimeout()
     {
         const std::string chunked = "Transfer-Encoding: chunked\r\n";
