--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -1,6 +1,7 @@
 #include <ggv/coordination/gateway/gateway_request.hpp>
 
 #include <ggv/coordination/gateway/completion_reasons.hpp>
+#include <ggv/coordination/gateway/discard_body.hpp>
 #include <ggv/coordination/gateway/header_values.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/state/routing/target_affinity.hpp>
@@ -232,6 +233,9 @@
 
 bool GatewayRequest::shouldRetry(AttemptResult end)
 {
+    // A second answer would reach the caller as a part of the first one's body.
+    if (m_caller.answerStarted())
+        return false;
     if (*m_callerDisconnected || !hasTimeForAttempt())
         return false;
     switch (end) {
@@ -468,8 +472,8 @@
     m_answerStarted = true;
     const auto end = m_peers.current() ? classifyPeerAnswer(head) : classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
-        std::array<std::uint8_t, ChunkBytes> chunk;
-        while (co_await m_exchange->readBody(chunk, m_deadline) > 0) { }
+        if (const auto failure = co_await discardBody(*m_exchange, head, m_deadline))
+            logUnreadBody(*failure);
         finishAttempt(TargetOutcome::Overloaded, true);
         co_return end;
     }
@@ -477,6 +481,15 @@
     co_return co_await forwardAnswer(std::move(head));
 }
 
+void GatewayRequest::logUnreadBody(const Error &error) const
+{
+    logEvent(LogLevel::Info, "rejection-body-unread",
+             { { "request", m_requestId },
+               { "target", m_choice.target ? m_choice.target->listing().instance : "" },
+               { "code", std::string(resultCodeName(error.code())) },
+               { "reason", error.what() } });
+}
+
 asio::awaitable<GatewayRequest::AttemptResult> GatewayRequest::forwardAnswer(HttpAnswerHead head)
 {
     Bytes buffered;
--- a/packages/coordination/test/gateway/scripted_target.hpp
+++ b/packages/coordination/test/gateway/scripted_target.hpp
@@ -5,6 +5,7 @@
 #include <net/packet_filter.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <set>
@@ -19,6 +20,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -30,6 +32,8 @@
     std::string bytes;
     bool close = false; //!< Closes the connection after sending the bytes.
     bool silent = false; //!< Sends no response and waits for the peer to close.
+    std::string pattern = {}; //!< Sent again and again after the bytes, until the peer closes.
+    std::chrono::milliseconds pause { 0 }; //!< Time between two repetitions of the pattern.
 };
 
 //! Fake target that sends the bytes chosen by a script. Runs on one event loop.
@@ -126,12 +130,32 @@
             co_await boost::asio::async_write(
                 socket, boost::asio::buffer(answer.bytes),
                 boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            if (!answer.pattern.empty())
+                co_await repeatPattern(socket, answer, ec);
+            if (ec)
+                break;
             if (answer.close)
                 co_return;
         }
         m_peerClosed = true;
     }
 
+    boost::asio::awaitable<void> repeatPattern(Socket &socket, const ScriptedAnswer &answer,
+                                               boost::system::error_code &ec)
+    {
+        std::string block = answer.pattern;
+        while (answer.pause.count() == 0 && block.size() < MinBlockBytes)
+            block += answer.pattern;
+        boost::asio::steady_timer timer(socket.get_executor());
+        while (!ec) {
+            co_await boost::asio::async_write(
+                socket, boost::asio::buffer(block),
+                boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            timer.expires_after(answer.pause);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+    }
+
     void recordRequest(const std::string &request)
     {
         const std::scoped_lock lock(m_mutex);
@@ -145,6 +169,7 @@
         return at == std::string::npos ? 0 : std::stoul(head.substr(at + Name.size()));
     }
 
+    static constexpr std::size_t MinBlockBytes = 16UL * 1024;
     static constexpr std::string_view HeadEnd = "\r\n\r\n";
 
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -4,6 +4,8 @@
 #include <ggv/transport/http/detail/operation_timer.hpp>
 #include <ggv/transport/net/detail/dead_peer_detection.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -13,6 +15,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 
 namespace ggv {
@@ -24,10 +27,16 @@
 
 namespace {
 
+//! Bounds a response head, and each chunk header and the trailer of a chunked body.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 //! Short, so that there is time left for another attempt.
 constexpr Duration PeerSilenceLimit = std::chrono::seconds(1);
 
+//! Interim responses (1xx) that may precede a response.
+constexpr int MaxInterimAnswers = 8;
+//! Start of each response that the parser accepts.
+constexpr beast::string_view AnswerStart = "HTTP/1.";
+
 using RequestMessage = http::request<http::buffer_body>;
 using AnswerParser = http::response_parser<http::buffer_body>;
 
@@ -116,15 +125,15 @@
 
     asio::awaitable<HttpAnswerHead> readHead(Instant deadline) override
     {
-        do {
-            m_parser.emplace();
-            m_parser->header_limit(MaxAnswerHeaderBytes);
-            m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-            m_parser->skip(m_isHeadRequest);
-            co_await runOperation(deadline, ResultCode::TargetConnectionLost, [this](auto token) {
-                return http::async_read_header(m_socket, m_buffer, *m_parser, token);
-            });
-        } while (m_parser->get().result_int() / 100 == 1);
+        m_headBytes = 0;
+        co_await parseHead(deadline);
+        for (int interim = 1; m_parser->get().result_int() / 100 == 1; ++interim) {
+            if (m_parser->get().result() == http::status::switching_protocols)
+                throw refusal("a change of the protocol that no request asks for");
+            if (interim > MaxInterimAnswers)
+                throw refusal("too many interim responses");
+            co_await parseHead(deadline);
+        }
         const auto head = detail::answerHeadOf(m_parser->get(), m_isHeadRequest);
         m_bodyUntilClose = !m_parser->is_done() && !head.contentLength && !m_parser->chunked();
         co_return head;
@@ -184,23 +193,104 @@
         ++m_exchangeCount;
     }
 
+    // Calls the function once if the peer sends or closes before stopIdleWatch().
+    void watchIdle(std::function<void()> onInput)
+    {
+        m_onIdleInput = std::make_shared<std::function<void()>>(std::move(onInput));
+        m_socket.async_wait(tcp::socket::wait_read,
+                            [weak = std::weak_ptr(m_onIdleInput)](boost::system::error_code ec) {
+                                const auto handler = weak.lock();
+                                if (!ec && handler)
+                                    (*handler)();
+                            });
+    }
+
+    void stopIdleWatch()
+    {
+        boost::system::error_code ignored;
+        m_onIdleInput.reset();
+        m_socket.cancel(ignored);
+    }
+
     const Endpoint &peer() const noexcept { return m_peer; }
     std::uint64_t generation() const noexcept { return m_generation; }
     Instant idleSince() const noexcept { return m_idleSince; }
     void markIdle(Instant now) noexcept { m_idleSince = now; }
 
 private:
+    // Not async_read_header(): its limit doesn't count the lines that it has parsed already.
+    asio::awaitable<void> parseHead(Instant deadline)
+    {
+        m_parser.emplace();
+        m_parser->header_limit(MaxAnswerHeaderBytes);
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_parser->skip(m_isHeadRequest);
+        const std::size_t startOfHead = m_headBytes;
+        while (!m_parser->is_header_done()) {
+            boost::system::error_code ec = http::error::need_more;
+            if (m_headBytes == startOfHead && !startsLikeAnswer())
+                ec = http::error::bad_version;
+            else if (m_buffer.size() > 0)
+                parseBuffer(ec);
+            if (ec == http::error::need_more)
+                co_await receive(deadline);
+            else if (ec)
+                throw refusal(ec.message());
+        }
+    }
+
+    // The parser looks at a start line that comes in small pieces only when the head has ended.
+    bool startsLikeAnswer() const
+    {
+        const auto bytes = m_buffer.cdata();
+        const beast::string_view start(static_cast<const char *>(bytes.data()),
+                                       std::min(bytes.size(), AnswerStart.size()));
+        return AnswerStart.starts_with(start);
+    }
+
+    void parseBuffer(boost::system::error_code &ec)
+    {
+        const std::size_t used = m_parser->put(m_buffer.data(), ec);
+        m_buffer.consume(used);
+        m_headBytes += used;
+        if (m_headBytes + m_buffer.size() >= MaxAnswerHeaderBytes && ec == http::error::need_more)
+            ec = http::error::header_limit;
+    }
+
+    asio::awaitable<void> receive(Instant deadline)
+    {
+        const auto space = m_buffer.prepare(beast::read_size(m_buffer, MaxAnswerHeaderBytes));
+        const std::size_t n = co_await runOperation(
+            deadline, ResultCode::TargetConnectionLost,
+            [this, space](auto token) { return m_socket.async_read_some(space, token); });
+        m_buffer.commit(n);
+    }
+
+    // Marks the connection as failed; what was received is no response.
+    Error refusal(const std::string &reason)
+    {
+        m_failed = true;
+        return Error(ResultCode::TargetConnectionLost,
+                     "connection to " + m_peer.address + ": " + reason);
+    }
+
     template <typename Operation>
-    asio::awaitable<void> runOperation(Instant deadline, ResultCode failure, Operation operation)
+    asio::awaitable<std::size_t> runOperation(Instant deadline, ResultCode failure,
+                                              Operation operation)
     {
         boost::system::error_code ec;
-        m_timer.arm(deadline);
-        co_await operation(asio::redirect_error(asio::use_awaitable, ec));
-        const bool timedOut = m_timer.disarm();
+        std::size_t size = 0;
+        // The timer never ends operations that complete at once: those of a peer that always sends.
+        bool timedOut = monotonicNow() >= deadline;
+        if (!timedOut) {
+            m_timer.arm(deadline);
+            size = co_await operation(asio::redirect_error(asio::use_awaitable, ec));
+            timedOut = m_timer.disarm();
+        }
         if (ec == http::error::need_buffer)
             ec = {};
         if (!ec && !timedOut && !m_cancelled)
-            co_return;
+            co_return size;
         m_failed = true;
         if (m_cancelled)
             throw Error(ResultCode::CallerCancelled, "exchange was cancelled");
@@ -221,11 +311,14 @@
     Endpoint m_peer;
     std::uint64_t m_generation;
     Instant m_idleSince {};
-    beast::flat_buffer m_buffer;
+    std::shared_ptr<std::function<void()>> m_onIdleInput;
+    // The parser leaves in the buffer what it can't parse yet.
+    beast::flat_buffer m_buffer { MaxAnswerHeaderBytes };
     std::optional<OutgoingRequest> m_request;
     std::optional<AnswerParser> m_parser;
     std::optional<std::uint64_t> m_bodyLength;
     std::uint64_t m_bodySent = 0;
+    std::size_t m_headBytes = 0;
     std::uint32_t m_exchangeCount = 0;
     bool m_isHeadRequest = false;
     bool m_requestStarted = false;
@@ -252,6 +345,7 @@
         while (!peer.idle.empty()) {
             auto connection = std::move(peer.idle.back());
             peer.idle.pop_back();
+            connection->stopIdleWatch();
             const bool withinIdleTimeout = monotonicNow() - connection->idleSince() < m_idleTimeout;
             if (withinIdleTimeout && connection->isOpenWithoutInput())
                 return connection;
@@ -259,6 +353,12 @@
         return nullptr;
     }
 
+    void closeIdle(const ClientConnection *connection)
+    {
+        auto &idle = m_peers[connection->peer()].idle;
+        std::erase_if(idle, [connection](const auto &it) { return it.get() == connection; });
+    }
+
     asio::io_context &m_context;
     std::size_t m_maxIdlePerPeer;
     Duration m_idleTimeout;
@@ -300,6 +400,8 @@
     connection->markIdle(monotonicNow());
     exchange.release(); // NOLINT(bugprone-unused-return-value): owned by the list below.
     peerConnections.idle.emplace_back(connection);
+    connection->watchIdle(
+        [pool = m_implementation.get(), connection] { pool->closeIdle(connection); });
 }
 
 void HttpClientPool::closeIdleConnections(const Endpoint &peer)
