--- a/packages/coordination/test/fleet/entry_host_selection_test.cpp
+++ b/packages/coordination/test/fleet/entry_host_selection_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(ownRegionIsPreferred);
     CPPUNIT_TEST(otherRegionIsNamedIfOwnReachesNoTarget);
     CPPUNIT_TEST(ownRegionIsNamedIfNobodyReachesTargets);
+    CPPUNIT_TEST(fewRemainingHostsOfARegionShareItsCallers);
     CPPUNIT_TEST(numberOfHostsIsBounded);
     CPPUNIT_TEST(answerIsEmptyOnlyWithoutReadyHosts);
     CPPUNIT_TEST(hostWithoutTargetsIsNamedOnlyIfNoOtherHasAny);
@@ -88,6 +89,19 @@
         CPPUNIT_ASSERT(selectEntryHosts(hosts, RegionName("west"), MaxCount) == hosts);
     }
 
+    // One host alone would be overloaded by the callers of three others.
+    void fewRemainingHostsOfARegionShareItsCallers()
+    {
+        Hosts hosts { makeHost("n-1", "north"), makeHost("s-0", "south") };
+        for (int n = 1; n <= 2; ++n)
+            hosts.push_back(makeHost("s-" + std::to_string(n), "south", true, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 },
+                             selectEntryHosts(hosts, RegionName("south"), MaxCount).size());
+        hosts.push_back(makeHost("s-3", "south", true, false));
+        CPPUNIT_ASSERT((selectEntryHosts(hosts, RegionName("south"), MaxCount)
+                        == Hosts { hosts[0], hosts[1] }));
+    }
+
     void numberOfHostsIsBounded()
     {
         Hosts hosts;
