Back off only from forwarding peers that can serve no request

Cause, found by review: a peer's refusal for one service or route (no target listed or reachable there) put the peer aside for all requests; a promise "not executed" with a request id, which only a target gives, was taken for a refusal of the peer, so that the request could have been sent again. Change: only path-lost, host-leaving and no-configuration put a peer aside; refusals bear no request id. No test of their own yet.

--- a/packages/coordination/ggv/coordination/gateway/peer_forwarding.cpp
+++ b/packages/coordination/ggv/coordination/gateway/peer_forwarding.cpp
@@ -13,8 +13,9 @@
 
 //! Reasons of a peer that refuses other requests alike.
 constexpr std::array UnusablePeerReasons {
-    detail::PathLost,       detail::HostLeaving,    detail::NoConfiguration,
-    detail::RoutesOutdated, detail::NoTargetListed, detail::TargetsUnreachable,
+    detail::PathLost,
+    detail::HostLeaving,
+    detail::NoConfiguration,
 };
 
 bool isUnusable(std::string_view reason)
@@ -62,10 +63,10 @@
         throw Error(ResultCode::ProtocolViolation,
                     "answer of a peer has the id of another request");
     const bool hasMarker = findHeader(head.headers, names.integrityMarker) != nullptr;
-    if (detail::promisesNotExecuted(head.status))
-        return !hasMarker;
     // A target's answer has the request id; a peer's own has not.
     const bool isOwnAnswer = !requestId.empty() && id == nullptr;
+    if (detail::promisesNotExecuted(head.status))
+        return id == nullptr && !hasMarker;
     if (isOwnAnswer && head.status < detail::StatusBadRequest)
         throw Error(ResultCode::ProtocolViolation, "answer of a peer has no request id");
     if (head.status >= 200 && head.status < 300 && !hasMarker)
--- a/packages/coordination/test/gateway/peer_forwarding_test.cpp
+++ b/packages/coordination/test/gateway/peer_forwarding_test.cpp
@@ -127,16 +127,16 @@
 }
 
 //! A gateway that reaches no target, and scripted peers in the given regions.
-class StrandedGateway
+class CutOffGateway
 {
 public:
-    explicit StrandedGateway(const ggv::RetryPolicy &policy = { 1.0, seconds(1), 1000.0 })
+    explicit CutOffGateway(const ggv::RetryPolicy &policy = { 1.0, seconds(1), 1000.0 })
         : m_gateway(policy)
     {
         m_gateway.addClosedTarget();
         m_pool.start();
     }
-    ~StrandedGateway() { m_pool.stop(); }
+    ~CutOffGateway() { m_pool.stop(); }
 
     const ScriptedTarget &addPeer(ScriptedTarget::Script script, const std::string &region)
     {
@@ -219,7 +219,7 @@
 class PeerForwardingTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(PeerForwardingTest);
-    CPPUNIT_TEST(callersOfAStrandedHostAreServed);
+    CPPUNIT_TEST(callersOfACutOffHostAreServed);
     CPPUNIT_TEST(eachAnswerOfAPeerGivesItsStatus);
     CPPUNIT_TEST(requestsRunAtMostOnceAndRefusedOnesNever);
     CPPUNIT_TEST(peerGetsTheUnchangedRequestWithoutAnInstance);
@@ -229,8 +229,8 @@
     CPPUNIT_TEST(peersOfOtherRegionsGetNothing);
     CPPUNIT_TEST(requestsReachAtMostThreePeers);
     CPPUNIT_TEST(withoutPeersTheRefusalIsImmediate);
-    CPPUNIT_TEST(strandedPeersDoNotForwardInCircles);
-    CPPUNIT_TEST(strandedPeerIsLeftAloneForAWhile);
+    CPPUNIT_TEST(cutOffPeersDoNotForwardAgain);
+    CPPUNIT_TEST(cutOffPeerIsNotTriedForTheBackoff);
     CPPUNIT_TEST(callerDisconnectCancelsTheRequestAtThePeer);
     CPPUNIT_TEST(silentPeerTimesOutAtDeadline);
     CPPUNIT_TEST(unsentRequestMovesToAPeerOnSuspicion);
@@ -244,14 +244,14 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void callersOfAStrandedHostAreServed()
+    void callersOfACutOffHostAreServed()
     {
         for (const auto kind : { RouteKind::Idempotent, RouteKind::NonIdempotent }) {
             ServingGateway peer(success, kind);
-            StrandedGateway stranded;
-            stranded.addPeer(peer.gateway().asPeer("b", "north"));
-            stranded.start(kind);
-            const auto text = stranded.gateway().call();
+            CutOffGateway cutOff;
+            cutOff.addPeer(peer.gateway().asPeer("b", "north"));
+            cutOff.start(kind);
+            const auto text = cutOff.gateway().call();
             CPPUNIT_ASSERT_EQUAL(std::string("200"), text.substr(9, 3));
             CPPUNIT_ASSERT(text.ends_with("\r\n\r\nwhole"));
             CPPUNIT_ASSERT(text.find(MarkerHeader) != std::string::npos);
@@ -262,12 +262,12 @@
     void eachAnswerOfAPeerGivesItsStatus()
     {
         for (const auto &it : PeerCases) {
-            StrandedGateway stranded;
-            stranded.addPeer(it.first, "north");
-            stranded.addPeer(success, "south");
-            stranded.start(it.kind);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::string(it.status), stranded.status());
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.sends, stranded.sends());
+            CutOffGateway cutOff;
+            cutOff.addPeer(it.first, "north");
+            cutOff.addPeer(success, "south");
+            cutOff.start(it.kind);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::string(it.status), cutOff.status());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.sends, cutOff.sends());
         }
     }
 
@@ -280,16 +280,16 @@
             const bool isSuspected = *rc::gen::arbitrary<bool>();
             std::atomic<std::size_t> executions = 0;
             const CapturedOutput output;
-            StrandedGateway stranded;
+            CutOffGateway cutOff;
             for (const auto number : numbers)
-                stranded.addPeer(peerBehaviours()[number], executions);
+                cutOff.addPeer(peerBehaviours()[number], executions);
             if (isSuspected)
-                stranded.gateway().suspectPath();
+                cutOff.gateway().suspectPath();
             else
-                stranded.gateway().losePath();
-            stranded.startOnPath(isIdempotent ? RouteKind::Idempotent : RouteKind::NonIdempotent);
-            const auto status = stranded.status();
-            RC_ASSERT(stranded.sends() <= ggv::PeerForwarding::MaxPeers);
+                cutOff.gateway().losePath();
+            cutOff.startOnPath(isIdempotent ? RouteKind::Idempotent : RouteKind::NonIdempotent);
+            const auto status = cutOff.status();
+            RC_ASSERT(cutOff.sends() <= ggv::PeerForwarding::MaxPeers);
             RC_ASSERT(executions <= (isIdempotent ? 2 : 1));
             RC_ASSERT(status != "503" || executions == 0);
             RC_ASSERT(status != "429" && status != "408");
@@ -300,10 +300,10 @@
 
     void peerGetsTheUnchangedRequestWithoutAnInstance()
     {
-        StrandedGateway stranded;
-        const auto &peer = stranded.addPeer(success, "north");
-        stranded.start(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status("700"));
+        CutOffGateway cutOff;
+        const auto &peer = cutOff.addPeer(success, "north");
+        cutOff.start(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status("700"));
         const auto request = peer.requests().front();
         CPPUNIT_ASSERT(request.starts_with("POST /a/1 HTTP/1.1\r\n"));
         CPPUNIT_ASSERT(request.find(IdHeader) != std::string::npos);
@@ -317,21 +317,21 @@
 
     void unreachablePeerIsReplacedForNonIdempotentRequest()
     {
-        StrandedGateway stranded;
-        stranded.addClosedPeer("north");
-        stranded.addPeer(success, "south");
-        stranded.start(RouteKind::NonIdempotent, 1);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, stranded.sends());
+        CutOffGateway cutOff;
+        cutOff.addClosedPeer("north");
+        cutOff.addPeer(success, "south");
+        cutOff.start(RouteKind::NonIdempotent, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, cutOff.sends());
     }
 
     void cutAnswerIsNotPassedOn()
     {
-        StrandedGateway stranded;
-        stranded.addPeer(truncated, "north");
-        stranded.addPeer(success, "south");
-        stranded.start(RouteKind::Idempotent);
-        const auto text = stranded.gateway().call();
+        CutOffGateway cutOff;
+        cutOff.addPeer(truncated, "north");
+        cutOff.addPeer(success, "south");
+        cutOff.start(RouteKind::Idempotent);
+        const auto text = cutOff.gateway().call();
         CPPUNIT_ASSERT(text.ends_with("\r\n\r\nwhole"));
         CPPUNIT_ASSERT(text.find("half") == std::string::npos);
     }
@@ -345,77 +345,79 @@
                                         false };
             },
             RouteKind::Idempotent);
-        StrandedGateway stranded;
-        stranded.addPeer(peer.gateway().asPeer("b", "north"));
-        stranded.start(RouteKind::Idempotent);
-        CPPUNIT_ASSERT(stranded.gateway().call().ends_with(body));
+        CutOffGateway cutOff;
+        cutOff.addPeer(peer.gateway().asPeer("b", "north"));
+        cutOff.start(RouteKind::Idempotent);
+        CPPUNIT_ASSERT(cutOff.gateway().call().ends_with(body));
     }
 
     void peersOfOtherRegionsGetNothing()
     {
-        StrandedGateway stranded;
-        const auto &forbidden = stranded.addPeer(success, "south");
-        stranded.addPeer(connectionLost, "north");
-        stranded.gateway().setAllowedRegions({ RegionName("north") });
-        stranded.start(RouteKind::Idempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("502"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::string("503"), stranded.status());
+        CutOffGateway cutOff;
+        const auto &forbidden = cutOff.addPeer(success, "south");
+        cutOff.addPeer(connectionLost, "north");
+        cutOff.gateway().setAllowedRegions({ RegionName("north") });
+        cutOff.start(RouteKind::Idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("502"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), cutOff.status());
         CPPUNIT_ASSERT(forbidden.requests().empty());
     }
 
     void requestsReachAtMostThreePeers()
     {
-        StrandedGateway stranded;
+        CutOffGateway cutOff;
         for (int n = 0; n < 5; ++n)
-            stranded.addPeer(refusal, "north");
-        stranded.start(RouteKind::NonIdempotent);
-        const auto text = stranded.gateway().call();
+            cutOff.addPeer(refusal, "north");
+        cutOff.start(RouteKind::NonIdempotent);
+        const auto text = cutOff.gateway().call();
         CPPUNIT_ASSERT_EQUAL(std::string("503"), text.substr(9, 3));
         CPPUNIT_ASSERT(text.find("Retry-After: 0.") != std::string::npos);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, stranded.sends());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, cutOff.sends());
     }
 
     void withoutPeersTheRefusalIsImmediate()
     {
-        StrandedGateway stranded;
-        stranded.start(RouteKind::NonIdempotent);
+        CutOffGateway cutOff;
+        cutOff.start(RouteKind::NonIdempotent);
         const auto startedAt = ggv::monotonicNow();
-        const auto text = stranded.gateway().call();
+        const auto text = cutOff.gateway().call();
         CPPUNIT_ASSERT(ggv::monotonicNow() - startedAt < milliseconds(400));
         CPPUNIT_ASSERT_EQUAL(std::string("503"), text.substr(9, 3));
-        CPPUNIT_ASSERT(text.find("Retry-After: 0.0") != std::string::npos);
+        // No other host is known to reach the targets.
+        CPPUNIT_ASSERT(text.find("Retry-After: 0.") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("Retry-After: 0.0") == std::string::npos);
     }
 
-    void strandedPeersDoNotForwardInCircles()
+    void cutOffPeersDoNotForwardAgain()
     {
-        StrandedGateway other;
+        CutOffGateway other;
         const auto &third = other.addPeer(success, "north");
         other.start(RouteKind::NonIdempotent);
-        StrandedGateway stranded;
-        stranded.addPeer(other.gateway().asPeer("b", "north"));
-        stranded.start(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("503"), stranded.status());
+        CutOffGateway cutOff;
+        cutOff.addPeer(other.gateway().asPeer("b", "north"));
+        cutOff.start(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), cutOff.status());
         CPPUNIT_ASSERT(third.requests().empty());
     }
 
-    void strandedPeerIsLeftAloneForAWhile()
+    void cutOffPeerIsNotTriedForTheBackoff()
     {
-        StrandedGateway stranded;
-        const auto &first = stranded.addPeer(pathLost, "north");
-        stranded.addPeer(success, "south");
-        stranded.start(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
+        CutOffGateway cutOff;
+        const auto &first = cutOff.addPeer(pathLost, "north");
+        cutOff.addPeer(success, "south");
+        cutOff.start(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, first.requests().size());
     }
 
     void callerDisconnectCancelsTheRequestAtThePeer()
     {
         ServingGateway peer(noAnswer, RouteKind::Idempotent);
-        StrandedGateway stranded;
-        stranded.addPeer(peer.gateway().asPeer("b", "north"));
-        stranded.start(RouteKind::Idempotent);
-        auto caller = stranded.gateway().send("2900");
+        CutOffGateway cutOff;
+        cutOff.addPeer(peer.gateway().asPeer("b", "north"));
+        cutOff.start(RouteKind::Idempotent);
+        auto caller = cutOff.gateway().send("2900");
         waitUntil([&] { return peer.gateway().receivedRequests() == 1; });
         caller.close();
         waitUntil([&] { return peer.gateway().target(0).peerClosed(); });
@@ -424,52 +426,52 @@
 
     void silentPeerTimesOutAtDeadline()
     {
-        StrandedGateway stranded;
-        stranded.addPeer(noAnswer, "north");
-        stranded.addPeer(success, "south");
-        stranded.start(RouteKind::Idempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("504"), stranded.status("300"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, stranded.sends());
+        CutOffGateway cutOff;
+        cutOff.addPeer(noAnswer, "north");
+        cutOff.addPeer(success, "south");
+        cutOff.start(RouteKind::Idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("504"), cutOff.status("300"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, cutOff.sends());
     }
 
     void unsentRequestMovesToAPeerOnSuspicion()
     {
-        StrandedGateway stranded;
-        stranded.addPeer(success, "north");
-        stranded.gateway().suspectPath();
-        stranded.startOnPath(RouteKind::NonIdempotent, 1);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, stranded.sends());
+        CutOffGateway cutOff;
+        cutOff.addPeer(success, "north");
+        cutOff.gateway().suspectPath();
+        cutOff.startOnPath(RouteKind::NonIdempotent, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, cutOff.sends());
     }
 
     void unreachableTargetsRaiseTheSuspicionThemselves()
     {
-        StrandedGateway stranded;
-        stranded.gateway().addClosedTarget();
-        stranded.gateway().addClosedTarget();
-        stranded.addPeer(success, "north");
-        stranded.startOnPath(RouteKind::NonIdempotent, 1);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, stranded.sends());
+        CutOffGateway cutOff;
+        cutOff.gateway().addClosedTarget();
+        cutOff.gateway().addClosedTarget();
+        cutOff.addPeer(success, "north");
+        cutOff.startOnPath(RouteKind::NonIdempotent, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, cutOff.sends());
     }
 
     void openPathUsesNoPeer()
     {
-        StrandedGateway stranded;
-        stranded.addPeer(success, "north");
-        stranded.startOnPath(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("503"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, stranded.sends());
+        CutOffGateway cutOff;
+        cutOff.addPeer(success, "north");
+        cutOff.startOnPath(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, cutOff.sends());
     }
 
     void retriesAfterLostPeersAreBounded()
     {
-        StrandedGateway stranded;
+        CutOffGateway cutOff;
         for (int n = 0; n < 3; ++n)
-            stranded.addPeer(connectionLost, "north");
-        stranded.start(RouteKind::Idempotent, 2);
-        CPPUNIT_ASSERT_EQUAL(std::string("502"), stranded.status());
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, stranded.sends());
+            cutOff.addPeer(connectionLost, "north");
+        cutOff.start(RouteKind::Idempotent, 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("502"), cutOff.status());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, cutOff.sends());
     }
 
     void refusalsByTargetsOfPeersDrawOnTheBudget()
@@ -480,20 +482,20 @@
 
     void answerOfAPeerSaysNothingOfOwnTargets()
     {
-        StrandedGateway stranded;
-        stranded.addPeer(leavingLoadedSuccess, "north");
-        stranded.start(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
-        CPPUNIT_ASSERT(stranded.gateway().targetStateReports().empty());
+        CutOffGateway cutOff;
+        cutOff.addPeer(leavingLoadedSuccess, "north");
+        cutOff.start(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
+        CPPUNIT_ASSERT(cutOff.gateway().targetStateReports().empty());
     }
 
     void logNamesThePeer()
     {
         const CapturedOutput output;
-        StrandedGateway stranded;
-        stranded.addPeer(success, "north");
-        stranded.start(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("200"), stranded.status());
+        CutOffGateway cutOff;
+        cutOff.addPeer(success, "north");
+        cutOff.start(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), cutOff.status());
         const auto events = output.events();
         const auto end = std::find_if(events.begin(), events.end(), [](const auto &event) {
             return event.event == "request-answered";
@@ -526,11 +528,11 @@
     static void assertExplained(const ScriptedTarget::Script &script, const std::string &expected)
     {
         const CapturedOutput output;
-        StrandedGateway stranded;
+        CutOffGateway cutOff;
         if (script)
-            stranded.addPeer(script, "north");
-        stranded.start(RouteKind::NonIdempotent);
-        (void)stranded.status();
+            cutOff.addPeer(script, "north");
+        cutOff.start(RouteKind::NonIdempotent);
+        (void)cutOff.status();
         const auto cause = explain(output).cause;
         CPPUNIT_ASSERT_MESSAGE(cause, cause.find(expected) != std::string::npos);
     }
@@ -538,12 +540,12 @@
     // Requests that peers receive if the retry budget allows a single retry.
     static std::size_t sendsWithOneRetry(const ScriptedTarget::Script &script)
     {
-        StrandedGateway stranded({ 0.0, seconds(1000), 0.0 });
+        CutOffGateway cutOff({ 0.0, seconds(1000), 0.0 });
         for (int n = 0; n < 3; ++n)
-            stranded.addPeer(script, "north");
-        stranded.start(RouteKind::NonIdempotent);
-        CPPUNIT_ASSERT_EQUAL(std::string("503"), stranded.status());
-        return stranded.sends();
+            cutOff.addPeer(script, "north");
+        cutOff.start(RouteKind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), cutOff.status());
+        return cutOff.sends();
     }
 
     template <typename Condition>
