Take neither a congested link nor an outage of all targets for an own cut

Change: silence and refusals are told apart; an answer of any target refutes silence. Without forwarding peers a request tries one target, and failures count against targets; the marks are taken back only once peers are named. A request's own short deadline is no evidence. An arrival counts in the retry budget once, where it is first sent. A long response that denies execution ends as 502. Tests: slowLinkWithAnswersIsNotSuspected, answerEndsALossBySilenceOnly, targetsThatNoHostReachesHaveFailedThemselves, lostPathWithoutPeersIsTriedByRequests.

--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -173,7 +173,7 @@
         for (const auto &it : hosts)
             peers.push_back({ it.name, it.internal, it.region });
         logEvent(LogLevel::Info, "forwarding-peers-changed", { { "peers", peers.size() } });
-        m_context.forwardingPeers().update(std::move(peers));
+        m_context.setForwardingPeers(std::move(peers));
     }
 
     void applyConfiguration(std::uint64_t version, ByteView document)
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.cpp
@@ -150,20 +150,39 @@
     change.failedTargets = std::max(failedTargets, m_targetPath.failedTargets());
     change.failedDomains = std::max(failedDomains, m_targetPath.failedDomains());
     change.lasted = now - std::exchange(m_targetPathChangedAt, now);
-    if (state == TargetPathState::Lost)
-        m_targets.forgetFailures(m_targetPath.evidenceSince());
-    else if (before == TargetPathState::Lost)
+    if (before == TargetPathState::Lost)
         onTargetPathRestored(now);
     onTargetPathChange(change);
 }
 
-void GatewayContext::observeUnreachable(const PooledTarget &target, Instant attemptedAt)
+void GatewayContext::observeUnreachable(const PooledTarget &target, PathFailure kind,
+                                        Instant attemptedAt)
 {
     if (attemptedAt < m_targetPathRestoredAt)
         return;
     const auto &listing = target.listing();
-    updateTargetPath(
-        [&](Instant now) { m_targetPath.observeFailure(listing.instance, listing.domain, now); });
+    updateTargetPath([&](Instant now) {
+        m_targetPath.observeFailure(listing.instance, listing.domain, kind, now);
+    });
+}
+
+void GatewayContext::observeTargetAnswer()
+{
+    if (m_targetPath.failedTargets() > 0)
+        updateTargetPath([this](Instant now) { m_targetPath.observeAnswer(now); });
+}
+
+void GatewayContext::setForwardingPeers(std::vector<ForwardingPeer> peers)
+{
+    // Others reach the targets, so that this host's failures were not theirs.
+    if (m_targetPath.isLost() && m_forwardingPeers.isEmpty() && !peers.empty())
+        m_targets.forgetFailures(m_targetPath.evidenceSince());
+    m_forwardingPeers.update(std::move(peers));
+}
+
+bool GatewayContext::isCutOff() const noexcept
+{
+    return m_targetPath.isLost() && !m_forwardingPeers.isEmpty();
 }
 
 void GatewayContext::observeTargetConnection()
@@ -178,7 +197,8 @@
 
 bool GatewayContext::isTargetAtFault(Instant attemptedAt) const noexcept
 {
-    return m_targetPath.isOpen() && attemptedAt >= m_targetPathRestoredAt;
+    const bool othersReachNone = m_targetPath.isLost() && m_forwardingPeers.isEmpty();
+    return (m_targetPath.isOpen() || othersReachNone) && attemptedAt >= m_targetPathRestoredAt;
 }
 
 void GatewayContext::onTargetPathRestored(Instant now)
--- a/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_context.hpp
@@ -102,14 +102,21 @@
 
     //! Records that a target did not accept a connection or did not answer an attempt.
     //! @param attemptedAt Begin of the attempt.
-    void observeUnreachable(const PooledTarget &target, Instant attemptedAt);
+    void observeUnreachable(const PooledTarget &target, PathFailure kind, Instant attemptedAt);
+    //! Records that a target's answer arrived.
+    void observeTargetAnswer();
     //! Records that a new connection to a target was established.
     void observeTargetConnection();
     //! Records the result of a round of probes of targets.
     void observeTargetProbes(bool anyEstablished);
     //! @return True if the failure of an attempt is evidence against its target: not while this
-    //! host may be cut off from all targets, nor for an attempt from the time when it was.
+    //! host may be cut off from all targets, nor for an attempt from the time when it was. If no
+    //! other host is known to reach targets, they are at fault.
     [[nodiscard]] bool isTargetAtFault(Instant attemptedAt) const noexcept;
+    //! Replaces the peers that serve requests while this host reaches no target.
+    void setForwardingPeers(std::vector<ForwardingPeer> peers);
+    //! @return True if this host reaches no target although others do.
+    [[nodiscard]] bool isCutOff() const noexcept;
     //! @return Whether this host reaches targets at all.
     [[nodiscard]] TargetPathMonitor &targetPath() noexcept { return m_targetPath; }
 
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -209,9 +209,9 @@
 
 asio::awaitable<void> GatewayRequest::forward()
 {
-    // Of a request that goes to a peer only, the peer records the arrival.
-    if (!m_context.targetPath().isLost())
-        m_context.onRequest(m_query.service, m_startedAt);
+    // A request that goes to a peer is recorded there, once it is sent to a target.
+    if (m_origin == RequestOrigin::Caller && !m_context.isCutOff())
+        recordArrival();
     while (true) {
         const auto end = co_await attempt();
         if (!shouldRetry(end)) {
@@ -222,6 +222,12 @@
     }
 }
 
+void GatewayRequest::recordArrival()
+{
+    if (!std::exchange(m_isArrivalRecorded, true))
+        m_context.onRequest(m_query.service, m_startedAt);
+}
+
 void GatewayRequest::logRetry(AttemptResult end) const
 {
     logEvent(LogLevel::Info, "request-retried",
@@ -263,7 +269,9 @@
         m_avoidsTargets = true;
         return true;
     }
-    return m_choice.target != nullptr && ++m_connectFailures < MaxConnectFailures;
+    // While the path is lost, one attempt is enough to notice that it is back.
+    const bool mayRepeat = !m_context.targetPath().isLost();
+    return m_choice.target != nullptr && ++m_connectFailures < MaxConnectFailures && mayRepeat;
 }
 
 // Not limited by maxAttempts, which counts only sends that may have been executed.
@@ -283,14 +291,15 @@
         co_return AttemptResult::CallerDisconnected;
     if (!hasTimeForAttempt())
         co_return m_mayHaveExecuted ? AttemptResult::DeadlinePassed : AttemptResult::NotExecuted;
-    if (m_avoidsTargets || m_context.targetPath().isLost())
+    if (m_avoidsTargets || m_context.isCutOff())
         co_return co_await attemptAtPeer();
     m_peers.leave();
     m_choice = m_context.targets().choose(m_query, remainingTime(), now, m_context.random());
     if (!m_choice.target)
         co_return AttemptResult::NotConnected;
     m_query.triedInstances.insert(m_choice.target->listing().instance);
-    const auto failure = co_await connect(m_choice.target->listing().endpoint);
+    const Endpoint endpoint = m_choice.target->listing().endpoint;
+    const auto failure = co_await connect(endpoint);
     if (failure)
         co_return onConnectFailed(*failure);
     if (!m_exchange->reused())
@@ -300,6 +309,7 @@
         finishAttempt(std::nullopt, false);
         co_return AttemptResult::NotConnected;
     }
+    recordArrival();
     co_return co_await exchange();
 }
 
@@ -323,9 +333,17 @@
              { { "request", m_requestId },
                { "target", m_choice.target->listing().instance },
                { "reason", error.what() } });
-    m_context.observeUnreachable(*m_choice.target, m_sentAt);
+    const Instant now = monotonicNow();
+    const bool isSilent = now >= m_sentAt + ConnectTimeout;
+    if (!isSilent && now >= m_deadline) {
+        // The request's own time ended before the target could be judged.
+        finishAttempt(std::nullopt, false);
+        return AttemptResult::NotConnected;
+    }
+    m_context.observeUnreachable(*m_choice.target,
+                                 isSilent ? PathFailure::Silent : PathFailure::Refused, m_sentAt);
     if (m_context.isTargetAtFault(m_sentAt))
-        m_context.targets().observeRestart(*m_choice.target, monotonicNow());
+        m_context.targets().observeRestart(*m_choice.target, now);
     finishAttempt(TargetOutcome::Refused, false);
     return AttemptResult::NotConnected;
 }
@@ -394,7 +412,7 @@
         && (error.code() == ResultCode::PeerSilent
             || error.code() == ResultCode::TargetConnectionLost);
     if (isUnanswered)
-        m_context.observeUnreachable(*m_choice.target, m_sentAt);
+        m_context.observeUnreachable(*m_choice.target, PathFailure::Silent, m_sentAt);
     if (error.code() == ResultCode::PeerSilent) {
         m_context.connections().closeIdleConnections(receiver());
         finishAttempt(TargetOutcome::TimedOut, false);
@@ -470,6 +488,8 @@
 {
     HttpAnswerHead head = co_await m_exchange->readHead(m_deadline);
     m_answerStarted = true;
+    if (m_choice.target)
+        m_context.observeTargetAnswer();
     const auto end = m_peers.current() ? classifyPeerAnswer(head) : classifyAnswer(head);
     if (end == AttemptResult::NotExecuted) {
         if (const auto failure = co_await discardBody(*m_exchange, head, m_deadline))
@@ -510,6 +530,9 @@
         m_bufferedAnswer.emplace(std::move(head), std::move(buffered));
         co_return isFailure ? AttemptResult::Failed : AttemptResult::Answered;
     }
+    if (promisesNotExecuted(head.status))
+        throw Error(ResultCode::ProtocolViolation,
+                    "a long response states that the request was not executed");
     m_forwardedStatus = head.status;
     co_await m_caller.startAnswer(head);
     co_await m_caller.writeBody(buffered);
@@ -536,6 +559,4 @@
     m_exchange.reset();
 }
 
-//! A request waits for the first or the newest route table for at most its time-out divided by this
-//! value, and never longer than MaxRoutesWait.
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -70,7 +70,7 @@
     [[nodiscard]] boost::asio::awaitable<void> reject(std::uint16_t status, const char *reason);
     [[nodiscard]] const char *lossReason() const;
     [[nodiscard]] const char *rejectionReason() const;
-    [[nodiscard]] RetryDelay retryDelay(const char *reason) const;
+    [[nodiscard]] RetryDelay retryDelay(std::string_view reason) const;
     [[nodiscard]] HttpRequestHead forwardedHead() const;
     [[nodiscard]] AttemptResult classifyAnswer(const HttpAnswerHead &head);
     [[nodiscard]] AttemptResult classifyPeerAnswer(const HttpAnswerHead &head);
@@ -78,6 +78,7 @@
     [[nodiscard]] AttemptResult onAttemptFailed(const Error &error);
     [[nodiscard]] AttemptResult onPeerUnreachable(const Error &error);
     [[nodiscard]] AttemptResult onConnectFailed(const Error &error);
+    void recordArrival();
     void logRetry(AttemptResult end) const;
     void logUnreadBody(const Error &error) const;
     void recordTargetState(const HttpAnswerHead &head);
@@ -113,6 +114,7 @@
     std::uint32_t m_connectFailures = 0;
     std::uint16_t m_forwardedStatus = 0; //!< Status of a response that is streamed to the caller.
     bool m_answerStarted = false; //!< A response head was received in the current attempt.
+    bool m_isArrivalRecorded = false; //!< In the retry budget of the service.
     bool m_avoidsTargets = false; //!< Targets were unreachable; the request goes to peers.
     bool m_mayHaveExecuted = false;
     bool m_isCompleted = false; //!< Completion was recorded, and logged unless rate-limited.
--- a/packages/coordination/ggv/coordination/gateway/gateway_request_completion.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request_completion.cpp
@@ -55,7 +55,8 @@
         }
     }
     if (!m_mayHaveExecuted) {
-        co_await reject(StatusUnavailable, rejectionReason());
+        const char *reason = rejectionReason();
+        co_await reject(StatusUnavailable, reason);
         co_return;
     }
     const bool late = end == AttemptResult::DeadlinePassed;
@@ -94,12 +95,12 @@
     return NoTargetListed;
 }
 
-RetryDelay GatewayRequest::retryDelay(const char *reason) const
+RetryDelay GatewayRequest::retryDelay(std::string_view reason) const
 {
     // Another entry host can serve the request.
     if (reason == HostLeaving)
         return { ShutdownRetryAfter, ShutdownRetryAfter };
-    if (reason == PathLost)
+    if (reason == PathLost && m_context.isCutOff())
         return { PathLostRetryAfter, PathLostRetryAfter };
     if (reason == PeersUnavailable)
         return { std::max(PathLostRetryAfter, m_peers.statedRetryAfter()), PathLostRetryAfter };
--- a/packages/coordination/ggv/coordination/gateway/target_path_prober.cpp
+++ b/packages/coordination/ggv/coordination/gateway/target_path_prober.cpp
@@ -139,6 +139,8 @@
 {
     const auto targets = chooseProbes(m_context.targets().targets(), m_context.targetPath().state(),
                                       m_context.random());
+    if (targets.empty())
+        co_return true; // Nothing to judge the path by.
     const auto round = std::make_shared<Round>(Round {
         asio::steady_timer(m_loop, asio::steady_timer::time_point::max()), targets.size() });
     for (const auto &it : targets)
@@ -158,8 +160,9 @@
     std::unique_ptr<ClientExchange> connection;
     try {
         auto &connections = self->m_context.connections();
-        connection = co_await connections.open(target->listing().endpoint, true,
-                                               monotonicNow() + ProbeTimeout);
+        const Endpoint endpoint = target->listing().endpoint;
+        const Instant connectBy = monotonicNow() + ProbeTimeout;
+        connection = co_await connections.open(endpoint, true, connectBy);
     } catch (const Error &error) {
         failure = error;
     }
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -124,14 +124,15 @@
     }
     void setPeers(std::vector<ForwardingPeer> peers)
     {
-        m_context.forwardingPeers().update(std::move(peers));
+        m_context.setForwardingPeers(std::move(peers));
     }
     void suspectPath()
     {
         auto &path = m_context.targetPath();
         for (std::size_t n = 0; n < TargetPathMonitor::MinFailedTargets; ++n) {
             const auto number = std::to_string(n);
-            path.observeFailure("i" + number, FailureDomainName("d" + number), monotonicNow());
+            path.observeFailure("i" + number, FailureDomainName("d" + number), PathFailure::Refused,
+                                monotonicNow());
         }
     }
     void losePath()
--- a/packages/coordination/test/gateway/target_path_test.cpp
+++ b/packages/coordination/test/gateway/target_path_test.cpp
@@ -41,9 +41,15 @@
             const std::scoped_lock lock(m_mutex);
             m_changes.push_back(reachesTargets);
             m_changed.notify_all();
+            if (m_namesPeers)
+                context().setForwardingPeers(reachesTargets ? std::vector<ForwardingPeer>()
+                                                            : Peers);
         });
     }
 
+    //! Without peers, no other host reaches the targets either.
+    void namePeers(bool namesPeers) { m_namesPeers = namesPeers; }
+
     ~PathFixture()
     {
         runOnLoop([this] { m_prober->stop(); });
@@ -124,11 +130,17 @@
     {
         runOnLoop([this] {
             for (const auto &it : context().targets().targets())
-                context().observeUnreachable(*it, monotonicNow());
+                context().observeUnreachable(*it, PathFailure::Refused, monotonicNow());
         });
     }
 
 private:
+    //! An unreachable peer, as a control host would name it.
+    inline static const std::vector<ForwardingPeer> Peers {
+        { HostName("p"), { "127.0.0.1", 1 }, RegionName("north") }
+    };
+
+    bool m_namesPeers = true;
     std::shared_ptr<TargetPathProber> m_prober;
     std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -149,6 +161,8 @@
     CPPUNIT_TEST_SUITE(TargetPathTest);
     CPPUNIT_TEST(refusedConnectionsInTwoDomainsAreALoss);
     CPPUNIT_TEST(allIsServedAtOnceAfterRefusedConnections);
+    CPPUNIT_TEST(targetsThatNoHostReachesHaveFailedThemselves);
+    CPPUNIT_TEST(lostPathWithoutPeersIsTriedByRequests);
     CPPUNIT_TEST(hangingConnectionsAreALossWithinTheContactTime);
     CPPUNIT_TEST(eachChangeIsLoggedOnceWithItsEvidence);
     CPPUNIT_TEST(keptConnectionsAreNotUsedAfterTheLoss);
@@ -190,6 +204,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 20 }, fixture.target(0).requests().size());
     }
 
+    // All targets restart: they are cold, and must not get the full rate at once.
+    void targetsThatNoHostReachesHaveFailedThemselves()
+    {
+        PathFixture fixture;
+        fixture.namePeers(false);
+        fixture.start();
+        fixture.refuseConnections();
+        for (int n = 0; n < 10; ++n)
+            fixture.call();
+        fixture.acceptConnections();
+        CPPUNIT_ASSERT(fixture.awaitChanges({ false, true }, seconds(2)));
+        CPPUNIT_ASSERT(fixture.countServed(20) <= 4);
+    }
+
+    void lostPathWithoutPeersIsTriedByRequests()
+    {
+        PathFixture fixture;
+        fixture.namePeers(false);
+        fixture.setServicePolicy({});
+        fixture.start();
+        fixture.refuseConnections();
+        fixture.failAllTargets();
+        CPPUNIT_ASSERT(fixture.awaitChanges({ false }, seconds(1)));
+        fixture.acceptConnections();
+        CPPUNIT_ASSERT_EQUAL(1, fixture.countServed(1));
+    }
+
     void hangingConnectionsAreALossWithinTheContactTime()
     {
         PathFixture fixture;
@@ -314,7 +355,7 @@
             auto &context = fixture.context();
             const Instant duringLoss = monotonicNow();
             for (const auto &it : context.targets().targets())
-                context.observeUnreachable(*it, duringLoss);
+                context.observeUnreachable(*it, PathFailure::Refused, duringLoss);
             CPPUNIT_ASSERT(!context.isTargetAtFault(duringLoss));
             context.observeTargetProbes(false);
             CPPUNIT_ASSERT(context.targetPath().isLost());
@@ -324,7 +365,7 @@
             CPPUNIT_ASSERT(!context.isTargetAtFault(duringLoss));
             CPPUNIT_ASSERT(context.isTargetAtFault(monotonicNow()));
             for (const auto &it : context.targets().targets())
-                context.observeUnreachable(*it, duringLoss);
+                context.observeUnreachable(*it, PathFailure::Refused, duringLoss);
             CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, context.targetPath().failedTargets());
         });
     }
--- a/packages/state/ggv/state/health/target_path_monitor.cpp
+++ b/packages/state/ggv/state/health/target_path_monitor.cpp
@@ -19,14 +19,14 @@
 }
 
 void TargetPathMonitor::observeFailure(std::string_view instance, const FailureDomainName &domain,
-                                       Instant now)
+                                       PathFailure kind, Instant now)
 {
     if (isLost() || m_listedDomains == 0)
         return;
     if (isOpen())
         std::erase_if(m_failures,
                       [now](const auto &it) { return now - it.second.at > FailureWindow; });
-    m_failures.insert_or_assign(std::string(instance), Failure { domain, now });
+    m_failures.insert_or_assign(std::string(instance), Failure { domain, kind, now });
     if (!isOpen() || now < m_suspectableAt || !isEvidenceSufficient())
         return;
     m_state = TargetPathState::Suspected;
@@ -40,6 +40,13 @@
     reopen(now);
 }
 
+void TargetPathMonitor::observeAnswer(Instant now)
+{
+    std::erase_if(m_failures, [](const auto &it) { return it.second.kind == PathFailure::Silent; });
+    if (!isEvidenceSufficient())
+        reopen(now);
+}
+
 void TargetPathMonitor::setDomains(std::size_t listed)
 {
     m_listedDomains = listed;
--- a/packages/state/ggv/state/health/target_path_monitor.hpp
+++ b/packages/state/ggv/state/health/target_path_monitor.hpp
@@ -19,6 +19,12 @@
     Lost, //!< No probe was established since.
 };
 
+//! How an attempt to reach a target failed.
+enum class PathFailure : std::uint8_t {
+    Refused, //!< The connection was refused or reset.
+    Silent, //!< Nothing came back in time; also the sign of a congested link.
+};
+
 //! @return Name of the state for logs.
 [[nodiscard]] std::string_view targetPathStateName(TargetPathState state) noexcept;
 
@@ -26,8 +32,9 @@
  * @brief Tells an entry host that is cut off from all targets from the failure of some targets.
  *
  * Failures at several targets of several failure domains without an established connection since
- * raise a suspicion; probes confirm or refute it. One established connection ends it. Answers on
- * old connections are no evidence, since these may live on while new ones are refused.
+ * raise a suspicion; probes confirm or refute it. One established connection ends it. An answer on
+ * an old connection refutes silence, but not refusals: old connections may live on while new ones
+ * are refused.
  * Takes the current time as an argument. Not thread-safe.
  */
 class TargetPathMonitor
@@ -45,8 +52,11 @@
     static constexpr Duration MinTimeBetweenSuspicions = std::chrono::seconds(1);
 
     //! Records that a connection to a target failed, or that a request was not acknowledged.
-    //! @param instance The target. @param domain Its failure domain.
-    void observeFailure(std::string_view instance, const FailureDomainName &domain, Instant now);
+    //! @param instance The target. @param domain Its failure domain. @param kind How it failed.
+    void observeFailure(std::string_view instance, const FailureDomainName &domain,
+                        PathFailure kind, Instant now);
+    //! Records that an answer of any target arrived.
+    void observeAnswer(Instant now);
     //! Records that a new connection to any target was established.
     void observeConnection(Instant now);
     //! Sets the number of failure domains with listed targets. Without any, the state is Open.
@@ -73,6 +83,7 @@
     struct Failure
     {
         FailureDomainName domain;
+        PathFailure kind = PathFailure::Refused;
         Instant at;
     };
 
--- a/packages/state/ggv/state/routing/forwarding_peers.hpp
+++ b/packages/state/ggv/state/routing/forwarding_peers.hpp
@@ -36,6 +36,7 @@
     //! Replaces the list; failures of peers that remain listed are kept. @param peers Nearest
     //! first.
     void update(std::vector<ForwardingPeer> peers);
+    [[nodiscard]] bool isEmpty() const noexcept { return m_peers.empty(); }
     //! Records that a peer could not be reached or cannot serve any request.
     void observeFailure(const HostName &peer, Instant now);
 
--- a/packages/state/test/health/target_path_monitor_test.cpp
+++ b/packages/state/test/health/target_path_monitor_test.cpp
@@ -24,9 +24,10 @@
 }
 
 //! Fails a connection to one of the targets; the number's remainder gives the failure domain.
-void fail(TargetPathMonitor &monitor, std::size_t target, Instant now)
+void fail(TargetPathMonitor &monitor, std::size_t target, Instant now,
+          PathFailure kind = PathFailure::Refused)
 {
-    monitor.observeFailure("t" + std::to_string(target), domainOf(target), now);
+    monitor.observeFailure("t" + std::to_string(target), domainOf(target), kind, now);
 }
 
 TargetPathMonitor monitorOf(std::size_t domains)
@@ -96,6 +97,8 @@
     CPPUNIT_TEST(cutWithHangingConnectionsIsLostWithinTwoSeconds);
     CPPUNIT_TEST(cutWithRefusedConnectionsIsSuspectedAtOnce);
     CPPUNIT_TEST(refusedNewConnectionsCountWhileOldOnesLiveOn);
+    CPPUNIT_TEST(slowLinkWithAnswersIsNotSuspected);
+    CPPUNIT_TEST(answerEndsALossBySilenceOnly);
     CPPUNIT_TEST(lossOfOneFailureDomainIsNotSuspected);
     CPPUNIT_TEST(lossOfFewTargetsIsNotSuspected);
     CPPUNIT_TEST(failuresSpreadOverTimeAreNotSuspected);
@@ -147,6 +150,33 @@
         CPPUNIT_ASSERT(monitor.state() == TargetPathState::Suspected);
     }
 
+    // A congested link delays new connections beyond their time-out while answers keep arriving.
+    void slowLinkWithAnswersIsNotSuspected()
+    {
+        auto monitor = monitorOf(Domains);
+        for (std::size_t n = 0; n < 100; ++n) {
+            const Instant now = Start + static_cast<int>(n) * 20 * Millisecond;
+            fail(monitor, n, now, PathFailure::Silent);
+            if (n % 2 == 1)
+                monitor.observeAnswer(now);
+            CPPUNIT_ASSERT(monitor.isOpen());
+        }
+    }
+
+    void answerEndsALossBySilenceOnly()
+    {
+        auto silent = monitorOf(Domains);
+        for (std::size_t n = 0; n < 3; ++n)
+            fail(silent, n, Start, PathFailure::Silent);
+        silent.observeProbes(false, Start);
+        CPPUNIT_ASSERT(silent.isLost());
+        silent.observeAnswer(Start + Second);
+        CPPUNIT_ASSERT(silent.isOpen());
+        auto refused = lostMonitor();
+        refused.observeAnswer(Start + Second);
+        CPPUNIT_ASSERT(refused.isLost());
+    }
+
     void lossOfOneFailureDomainIsNotSuspected()
     {
         auto monitor = monitorOf(Domains);
