--- a/packages/coordination/ggv/coordination/fleet/target_state_relay.cpp
+++ b/packages/coordination/ggv/coordination/fleet/target_state_relay.cpp
@@ -66,7 +66,37 @@
 
 std::vector<TargetStateReport> TargetStateRelay::takeForEntry(Instant now)
 {
-    return takePending(m_forEntry, now);
+    std::set<std::string> selected = selectForEntry();
+    for (const auto &it : selected)
+        m_forEntry.erase(it);
+    return takePending(selected, now);
+}
+
+bool TargetStateRelay::isDeparted(const std::string &instance) const
+{
+    const auto tracked = m_tracked.find(instance);
+    return tracked != m_tracked.end() && tracked->second.report.departed;
+}
+
+// Load reports take turns by instance, so that none waits longer than one turn of all.
+std::set<std::string> TargetStateRelay::selectForEntry()
+{
+    std::set<std::string> selected;
+    for (const auto &it : m_forEntry) {
+        if (isDeparted(it))
+            selected.insert(it);
+    }
+    auto next = m_forEntry.upper_bound(m_lastForEntry);
+    std::size_t loadReports = 0;
+    for (std::size_t n = 0; n < m_forEntry.size() && loadReports < MaxLoadReports; ++n, ++next) {
+        if (next == m_forEntry.end())
+            next = m_forEntry.begin();
+        if (!selected.insert(*next).second)
+            continue;
+        ++loadReports;
+        m_lastForEntry = *next;
+    }
+    return selected;
 }
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/fleet/target_state_relay.hpp
+++ b/packages/coordination/ggv/coordination/fleet/target_state_relay.hpp
@@ -23,13 +23,18 @@
     //! Maximum number of tracked targets; reports of further targets are dropped.
     static constexpr std::size_t MaxTargets = 8192;
 
+    //! Number of load reports that entry hosts are sent at a time.
+    static constexpr std::size_t MaxLoadReports = 50;
+
     //! Queues reports received from an attached entry host, for control hosts and entry hosts.
     void addFromEntry(const std::vector<TargetStateReport> &reports, Instant now);
     //! Queues reports forwarded by another control host, for attached entry hosts.
     void addFromControl(const std::vector<TargetStateReport> &reports, Instant now);
     //! Returns the reports not yet sent to other control hosts and clears the queue.
     [[nodiscard]] std::vector<TargetStateReport> takeForControl(Instant now);
-    //! Returns the reports not yet sent to attached entry hosts and clears the queue.
+    //! Returns reports not yet sent to attached entry hosts: all of departed targets, and up to
+    //! MaxLoadReports others, so that the links to entry hosts are not filled when all targets are
+    //! busy. The rest stays queued.
     [[nodiscard]] std::vector<TargetStateReport> takeForEntry(Instant now);
 
 private:
@@ -42,11 +47,14 @@
     [[nodiscard]] bool add(const TargetStateReport &report, Instant now);
     [[nodiscard]] std::vector<TargetStateReport> takePending(std::set<std::string> &pending,
                                                              Instant now);
+    [[nodiscard]] std::set<std::string> selectForEntry();
+    [[nodiscard]] bool isDeparted(const std::string &instance) const;
     void expire(Instant now);
 
     std::map<std::string, TrackedReport> m_tracked; //!< By instance.
     std::set<std::string> m_forControl;
     std::set<std::string> m_forEntry;
+    std::string m_lastForEntry; //!< Target of the last load report sent; the next one follows it.
 };
 
 } // namespace ggv
