Share a region's callers once half of its hosts reach no target

Cause: look-ups named only the own region's hosts, down to a third of them. Change: below half of the region's ready hosts, other regions' hosts that reach targets are named as well.

--- a/packages/coordination/ggv/coordination/fleet/entry_host_selection.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_host_selection.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 //! If a smaller share of a region's hosts reaches targets, other regions' hosts share its callers.
-constexpr double MinReachingShare = 1.0 / 3.0;
+constexpr double MinReachingShare = 0.5;
 
 // Keeps only the matching hosts, or all if none matches.
 template <typename Predicate>
--- a/packages/coordination/test/fleet/entry_host_selection_test.cpp
+++ b/packages/coordination/test/fleet/entry_host_selection_test.cpp
@@ -89,17 +89,17 @@
         CPPUNIT_ASSERT(selectEntryHosts(hosts, RegionName("west"), MaxCount) == hosts);
     }
 
-    // One host alone would be overloaded by the callers of three others.
+    // The remaining hosts would be overloaded by the callers of twice as many others.
     void fewRemainingHostsOfARegionShareItsCallers()
     {
-        Hosts hosts { makeHost("n-1", "north"), makeHost("s-0", "south") };
-        for (int n = 1; n <= 2; ++n)
-            hosts.push_back(makeHost("s-" + std::to_string(n), "south", true, false));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 },
+        Hosts hosts { makeHost("n-1", "north"), makeHost("s-0", "south"), makeHost("s-1", "south"),
+                      makeHost("s-2", "south", true, false),
+                      makeHost("s-3", "south", true, false) };
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 },
                              selectEntryHosts(hosts, RegionName("south"), MaxCount).size());
-        hosts.push_back(makeHost("s-3", "south", true, false));
+        hosts.push_back(makeHost("s-4", "south", true, false));
         CPPUNIT_ASSERT((selectEntryHosts(hosts, RegionName("south"), MaxCount)
-                        == Hosts { hosts[0], hosts[1] }));
+                        == Hosts { hosts[0], hosts[1], hosts[2] }));
     }
 
     void numberOfHostsIsBounded()
