Log and count lists of targets that an entry host does not put in force

Nothing told an entry host that ignores its control host's lists from one whose control host has none (hypotheses 2 and 3 of the DRAIN incident).

New: the log events target-list-ignored and target-list-followed-again, one a change; metrics ggv_gateway_ignored_lists, ggv_control_complete_lists and ggv_control_list_read_seconds.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -415,7 +415,9 @@
 
     void sendList(Session &session, Instant now)
     {
-        Bytes bytes = encodeFleetMessage(m_list.report(session.list.sent(), now));
+        const TargetListReport report = m_list.report(session.list.sent(), now);
+        m_completeLists += report.targets ? 1 : 0;
+        Bytes bytes = encodeFleetMessage(report);
         session.list.onSent(m_list.digest(), now);
         m_listBytes += bytes.size();
         session.connection->send(std::move(bytes));
@@ -508,6 +510,8 @@
         gauges.commitIndex = status.commitIndex;
         gauges.entryHosts = m_directory.alive(HostRole::Entry, now).size();
         gauges.listAge = m_list.age(now);
+        gauges.listReadTime = m_listReadTime;
+        gauges.completeLists = m_completeLists;
         gauges.configurationBytes = m_configurationBytes;
         gauges.listBytes = m_listBytes;
         for (const auto &[id, session] : m_sessions)
@@ -547,7 +551,9 @@
         m_lastListReadAt = startedAt;
         try {
             auto targets = co_await m_reader.read();
-            m_list.replace(std::move(targets), startedAt, monotonicNow());
+            const Instant now = monotonicNow();
+            m_listReadTime = now - startedAt;
+            m_list.replace(std::move(targets), startedAt, now);
             updateListReadable(true, "");
         } catch (const Error &error) {
             updateListReadable(false, error.what());
@@ -590,6 +596,8 @@
     RandomSource m_random;
     std::uint64_t m_configurationBytes = 0; //!< Sent to entry hosts since the start.
     std::uint64_t m_listBytes = 0; //!< Sent to entry hosts since the start.
+    std::uint64_t m_completeLists = 0; //!< Sent to entry hosts since the start.
+    Duration m_listReadTime { 0 }; //!< Duration of this host's last reading of the target list.
     Instant m_hostObservationsSentAt = Instant(Duration(0));
     Instant m_lastListReadAt = Instant(Duration(0));
     Instant m_leaderSince {};
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
@@ -28,10 +28,14 @@
         static_cast<double>(gauges.entryHosts));
     add("ggv_control_list_age_seconds", "Since the list of targets was read",
         std::chrono::duration<double>(gauges.listAge).count());
+    add("ggv_control_list_read_seconds", "Duration of this host's last reading of the target list",
+        std::chrono::duration<double>(gauges.listReadTime).count());
     add("ggv_control_configuration_bytes", "Bytes of configurations sent to entry hosts",
         static_cast<double>(gauges.configurationBytes));
     add("ggv_control_list_bytes", "Bytes of target lists sent to entry hosts",
         static_cast<double>(gauges.listBytes));
+    add("ggv_control_complete_lists", "Target lists sent to entry hosts that are not deltas",
+        static_cast<double>(gauges.completeLists));
     add("ggv_control_max_queued_bytes", "Longest send queue of an attached entry host",
         static_cast<double>(gauges.maxQueuedBytes));
     add("ggv_log_lines_dropped", "Log lines that nobody read in time",
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
@@ -18,8 +18,10 @@
     std::uint64_t commitIndex = 0;
     std::size_t entryHosts = 0; //!< Number of live entry hosts.
     Duration listAge { 0 }; //!< Time since the target list was read.
+    Duration listReadTime { 0 }; //!< Duration of this host's last reading of the target list.
     std::uint64_t configurationBytes = 0; //!< Sent to entry hosts since the start.
     std::uint64_t listBytes = 0; //!< Bytes of target lists sent to entry hosts since the start.
+    std::uint64_t completeLists = 0; //!< Sent to entry hosts since the start, not as a delta.
     std::size_t maxQueuedBytes = 0; //!< Longest send queue of an attached entry host.
 };
 
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -236,6 +236,22 @@
 {
     if (m_list.apply(report, monotonicNow()))
         m_handlers.onTargets(m_list.list(), m_list.age(monotonicNow()));
+    recordIgnoredList(report, report.digest != 0 && report.digest != m_list.digest());
+}
+
+void EntryLink::recordIgnoredList(const TargetListReport &report, bool isIgnored)
+{
+    m_ignoredLists += isIgnored ? 1 : 0;
+    if (isIgnored == m_ignoresLists)
+        return;
+    m_ignoresLists = isIgnored;
+    const Duration heldAge = m_list.age(monotonicNow());
+    logEvent(isIgnored ? LogLevel::Warning : LogLevel::Info,
+             isIgnored ? "target-list-ignored" : "target-list-followed-again",
+             { { "peer", m_peer.address },
+               { "has_content", report.targets || report.delta },
+               { "age_ms", report.age.count() / 1000 },
+               { "held_age_ms", heldAge.count() / 1000 } });
 }
 
 void EntryLink::handle(const DocumentUpdate &update)
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -58,6 +58,8 @@
     [[nodiscard]] Duration stateAge() const;
     //! @return Time since the target list was read from the platform.
     [[nodiscard]] Duration listAge() const;
+    //! @return Number of reports of another target list than the held one that were not applied.
+    [[nodiscard]] std::uint64_t ignoredLists() const noexcept { return m_ignoredLists; }
 
 private:
     EntryLink(boost::asio::io_context &context, HostAnnouncement self, std::vector<Endpoint> seeds,
@@ -73,6 +75,7 @@
     void handle(const FleetFeed &feed);
     void handle(const TargetListReport &report);
     void handle(const DocumentUpdate &update);
+    void recordIgnoredList(const TargetListReport &report, bool isIgnored);
     [[nodiscard]] std::vector<Endpoint> candidateEndpoints() const;
     [[nodiscard]] Duration feedTimeout() const;
     [[nodiscard]] bool isReceivingState(Instant now) const;
@@ -85,6 +88,8 @@
     boost::asio::steady_timer m_timer;
     std::vector<HostAnnouncement> m_controlHosts;
     SharedTargetList m_list;
+    std::uint64_t m_ignoredLists = 0; //!< Since the start.
+    bool m_ignoresLists = false; //!< True if the last report of a target list was not applied.
     ReceivedDocument m_document;
     std::uint64_t m_revision = 0;
     std::shared_ptr<FrameConnection> m_connection;
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -229,6 +229,7 @@
         gauges.version = m_context.routes() ? m_context.routes()->version() : 0;
         gauges.stateAge = m_link->stateAge();
         gauges.listAge = m_link->listAge();
+        gauges.ignoredLists = m_link->ignoredLists();
         gauges.entryHosts = m_entryHosts;
         const auto targets = m_context.targets().targets();
         gauges.targets = targets.size();
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.cpp
@@ -97,6 +97,9 @@
              "Since a control host confirmed the state", toSeconds(gauges.stateAge));
     addGauge(gaugeRegistry, "ggv_gateway_list_age_seconds", "Since the list of targets was read",
              toSeconds(gauges.listAge));
+    addGauge(gaugeRegistry, "ggv_gateway_ignored_lists",
+             "Reports of the list of targets that were not applied",
+             static_cast<double>(gauges.ignoredLists));
     addGauge(gaugeRegistry, "ggv_gateway_entry_hosts", "Hosts that share targets and budgets",
              gauges.entryHosts);
     addGauge(gaugeRegistry, "ggv_gateway_targets", "Targets in the list",
--- a/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_metrics.hpp
@@ -15,6 +15,7 @@
     std::uint64_t version = 0; //!< Version of the configuration in force.
     Duration stateAge { 0 }; //!< Time since a control host confirmed the state.
     Duration listAge { 0 }; //!< Time since the target list was read.
+    std::uint64_t ignoredLists = 0; //!< Reports of the target list that were not applied.
     std::uint32_t entryHosts = 0; //!< Entry hosts that share targets and budgets.
     std::size_t targets = 0;
     std::size_t rateLimitedTargets = 0; //!< Targets that state a rate limit.
