--- a/packages/coordination/test/fleet/throttled_proxy.hpp
+++ b/packages/coordination/test/fleet/throttled_proxy.hpp
@@ -32,6 +32,14 @@
 
     ggv::Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
     void setRate(std::size_t bytesPerSecond) { *m_rate = bytesPerSecond; }
+    //! Closes all connections; new ones are accepted.
+    void closeConnections()
+    {
+        boost::system::error_code ignored;
+        for (const auto &it : m_sockets)
+            it->close(ignored);
+        m_sockets.clear();
+    }
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -107,6 +115,7 @@
     {
         const auto server = std::make_shared<tcp::socket>(m_context);
         // Small buffers, so that the sender notices the slow link as it would notice a real one.
+        m_sockets.insert(m_sockets.end(), { client, server });
         server->open(tcp::v4());
         server->set_option(boost::asio::socket_base::receive_buffer_size(8 * 1024));
         server->async_connect({ boost::asio::ip::make_address(m_server.address), m_server.port },
@@ -121,6 +130,7 @@
     boost::asio::io_context &m_context;
     ggv::Endpoint m_server;
     std::shared_ptr<std::size_t> m_rate;
+    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
     tcp::acceptor m_acceptor;
 };
 
