Let an entry host follow its control host's lists whatever it puts in force

Callers' requests reached a target up to 5 s (bound 3 s) after the platform had listed it as leaving, from an entry host that had changed its connection to the control hosts after a delay.

Cause: the receiver discarded a list that it took for older; the sender took it for delivered and based its differences on it. Each further difference failed until Delivery::LossTimeout. And a list seemed newer by the time that it had waited on the link, so that a list could be taken for older than an earlier reading. Class of fault: a chain of differences whose two ends can disagree on the base, mended only by a time limit.

Now a received list is a base whether it is put in force or not, 32 earlier lists are kept (as differences: less memory than four lists took), a list with an unknown base ends the connection, and the age of a list counts from the earliest time at which its report can have been sent. Between control hosts a report of a peer that crosses a difference no longer costs a reading (0.9 s), as the earlier base is still held. Message formats are unchanged.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -303,11 +303,11 @@
     void handle(Session &session, const TargetListReport &report)
     {
         const Instant now = monotonicNow();
+        if (m_list.apply(report, now, now))
+            sendListToEntryHosts();
         // The report contains this host's digest, so that the sender sends the complete list next.
-        if (session.report && m_list.needsFullList(report, now))
+        if (session.report && !m_list.hasReceived(report))
             m_mesh.send(session.report->host.internal, ownReport());
-        if (m_list.apply(report, now))
-            sendListToEntryHosts();
     }
 
     void handle(Session &, const FleetFeed &) { }
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -157,6 +157,7 @@
     m_connecting = false;
     m_connection = std::move(connection);
     m_connectedAt = monotonicNow();
+    m_notSentBefore = m_connectedAt;
     logEvent(LogLevel::Info, "control-host-connected",
              { { "peer", m_peer.address }, { "revision", m_revision } });
     m_connection->start(
@@ -188,7 +189,7 @@
     if (!m_connection)
         return;
     m_reportedAt = monotonicNow();
-    m_connection->send(encodeFleetMessage(HostReport { m_self, m_revision, m_list.digest(),
+    m_connection->send(encodeFleetMessage(HostReport { m_self, m_revision, m_list.receivedDigest(),
                                                        m_document.heldVersion(),
                                                        m_reportedAt.time_since_epoch() }));
 }
@@ -220,6 +221,7 @@
 
 void EntryLink::handle(const FleetFeed &feed)
 {
+    m_notSentBefore = std::max(m_notSentBefore, Instant(feed.reportSentAt));
     m_peerIsBehind = !feed.current || feed.revision < m_revision;
     if (m_peerIsBehind)
         return;
@@ -234,9 +236,13 @@
 
 void EntryLink::handle(const TargetListReport &report)
 {
-    if (m_list.apply(report, monotonicNow()))
-        m_handlers.onTargets(m_list.list(), m_list.age(monotonicNow()));
+    const Instant now = monotonicNow();
+    if (m_list.apply(report, m_notSentBefore, now))
+        m_handlers.onTargets(m_list.list(), m_list.age(now));
     recordIgnoredList(report, report.digest != 0 && report.digest != m_list.digest());
+    // The next connection begins with the digest of a list that this host does hold.
+    if (!m_list.hasReceived(report))
+        disconnect("the target list refers to one that is not held here");
 }
 
 void EntryLink::recordIgnoredList(const TargetListReport &report, bool isIgnored)
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -98,6 +98,7 @@
     std::size_t m_failures = 0; //!< Consecutive control hosts without a confirmed state.
     Instant m_reportedAt = Instant(Duration(0));
     Instant m_connectedAt = Instant(Duration(0));
+    Instant m_notSentBefore {}; //!< Messages that arrive from now on were not sent earlier.
     bool m_peerIsBehind = false; //!< The control host reports that it follows no confirmed leader,
                                  //!< or its state is older.
     Instant m_confirmedAt = monotonicNow(); //!< Arrival of the last confirmed state, or the start.
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Duration NeverRead = std::chrono::hours(24);
-//! Number of previous lists for which deltas can be computed.
-constexpr std::size_t MaxPreviousLists = 4;
+//! Number of earlier lists for which deltas can be computed.
+constexpr std::size_t MaxEarlierLists = 32;
 //! A cold time is treated as the countdown of the known one if it is at most ColdToleranceBelow
 //! below or ColdToleranceAbove above the expected value; a longer one may be due to a restart of
 //! the target.
@@ -65,11 +65,11 @@
     if (list.digest == m_list.digest)
         return;
     if (m_list.digest != 0)
-        m_previousLists.push_back(std::exchange(m_list, std::move(list)));
-    else
-        m_list = std::move(list);
-    if (m_previousLists.size() > MaxPreviousLists)
-        m_previousLists.pop_front();
+        m_earlierLists.push_back({ m_list.digest, computeDelta(list, m_list) });
+    if (m_earlierLists.size() > MaxEarlierLists)
+        m_earlierLists.pop_front();
+    m_list = std::move(list);
+    m_deltas.clear();
 }
 
 void SharedTargetList::retainColdTimes(std::vector<ListedTarget> &targets, Instant readAt)
@@ -96,63 +96,101 @@
 {
     retainColdTimes(targets, readAt);
     std::sort(targets.begin(), targets.end());
-    const std::uint64_t digest = computeDigest(targets);
-    setContent({ digest, std::move(targets) });
+    m_receivedDigest = computeDigest(targets);
+    setContent({ m_receivedDigest, std::move(targets) });
     m_readAt = readAt;
     m_updatedAt = now;
 }
 
+// Returns the list with the digest, null if it is not held. An earlier one is rebuilt in the
+// storage.
+const TargetList *SharedTargetList::findList(std::uint64_t digest, TargetList &storage) const
+{
+    if (digest == 0)
+        return nullptr;
+    for (const auto *it : { &m_list, &m_olderList }) {
+        if (it->digest == digest)
+            return it;
+    }
+    const bool isEarlier = std::any_of(m_earlierLists.begin(), m_earlierLists.end(),
+                                       [digest](const auto &it) { return it.digest == digest; });
+    if (!isEarlier)
+        return nullptr;
+    storage = m_list;
+    for (auto it = m_earlierLists.rbegin(); storage.digest != digest; ++it)
+        storage = { it->digest, applyDelta(it->fromSuccessor, storage) };
+    return &storage;
+}
+
 std::optional<TargetList> SharedTargetList::resolveContent(const TargetListReport &report) const
 {
     if (report.targets)
         return TargetList { report.digest, *report.targets };
-    if (!report.delta || report.delta->base != m_list.digest)
+    TargetList storage;
+    const auto *base = findList(report.delta ? report.delta->base : report.digest, storage);
+    if (base == nullptr)
         return std::nullopt;
-    auto targets = applyDelta(*report.delta, m_list);
+    if (!report.delta)
+        return *base;
+    auto targets = applyDelta(*report.delta, *base);
     if (computeDigest(targets) != report.digest)
         return std::nullopt;
     return TargetList { report.digest, std::move(targets) };
 }
 
-bool SharedTargetList::isNewer(const TargetListReport &report, Instant now) const noexcept
+bool SharedTargetList::mayBeNewer(const TargetListReport &report, Instant now) const noexcept
 {
-    return report.digest != 0 && (m_readAt == Instant::min() || now - report.age > m_readAt);
+    return m_readAt == Instant::min() || now - report.age > m_readAt;
 }
 
-bool SharedTargetList::needsFullList(const TargetListReport &report, Instant now) const
+bool SharedTargetList::hasReceived(const TargetListReport &report) const noexcept
 {
-    return isNewer(report, now) && report.digest != m_list.digest && !resolveContent(report);
+    return report.digest == 0 || report.digest == m_receivedDigest;
 }
 
-bool SharedTargetList::apply(const TargetListReport &report, Instant now)
+bool SharedTargetList::apply(const TargetListReport &report, Instant notSentBefore, Instant now)
 {
-    if (!isNewer(report, now))
+    if (report.digest == 0)
+        return false;
+    const bool isKnown = report.digest == m_list.digest;
+    auto content = isKnown ? std::nullopt : resolveContent(report);
+    if (!isKnown && !content)
         return false;
-    const bool known = report.digest == m_list.digest;
-    auto content = known ? std::nullopt : resolveContent(report);
-    if (!known && !content)
+    m_receivedDigest = report.digest;
+    if (!mayBeNewer(report, now)) {
+        if (content)
+            m_olderList = std::move(*content);
         return false;
-    m_readAt = now - report.age;
+    }
+    m_readAt = std::max(m_readAt, notSentBefore - report.age);
     m_updatedAt = now;
-    if (known)
+    if (isKnown)
         return false;
     setContent(std::move(*content));
     return true;
 }
 
-std::optional<TargetListDelta> SharedTargetList::deltaFrom(std::uint64_t knownDigest) const
+std::optional<TargetListDelta> SharedTargetList::makeDelta(std::uint64_t knownDigest) const
 {
-    for (const auto &it : m_previousLists) {
-        if (it.digest != knownDigest)
-            continue;
-        auto delta = computeDelta(it, m_list);
-        if (delta.added.size() < m_list.targets.size())
-            return delta;
-    }
-    return std::nullopt;
+    TargetList storage;
+    const auto *base = findList(knownDigest, storage);
+    if (base == nullptr)
+        return std::nullopt;
+    auto delta = computeDelta(*base, m_list);
+    if (delta.added.size() >= m_list.targets.size())
+        return std::nullopt;
+    return delta;
+}
+
+const std::optional<TargetListDelta> &SharedTargetList::deltaFrom(std::uint64_t knownDigest)
+{
+    const auto known = m_deltas.find(knownDigest);
+    if (known != m_deltas.end())
+        return known->second;
+    return m_deltas.emplace(knownDigest, makeDelta(knownDigest)).first->second;
 }
 
-TargetListReport SharedTargetList::report(std::uint64_t knownDigest, Instant now) const
+TargetListReport SharedTargetList::report(std::uint64_t knownDigest, Instant now)
 {
     TargetListReport report { m_list.digest, age(now), {}, {} };
     if (m_list.digest == 0 || m_list.digest == knownDigest)
--- a/packages/coordination/test/fleet/fleet_directory_test.cpp
+++ b/packages/coordination/test/fleet/fleet_directory_test.cpp
@@ -77,9 +77,10 @@
         SharedTargetList other;
         own.replace(targets(1), m_now, m_now);
         other.replace(targets(2), m_now - seconds(1), m_now);
-        CPPUNIT_ASSERT(!own.apply(other.report(0, m_now), m_now));
+        CPPUNIT_ASSERT(!own.apply(other.report(0, m_now), m_now, m_now));
         other.replace(targets(3), m_now + seconds(1), m_now);
-        CPPUNIT_ASSERT(own.apply(other.report(0, m_now + seconds(2)), m_now + seconds(2)));
+        CPPUNIT_ASSERT(
+            own.apply(other.report(0, m_now + seconds(2)), m_now + seconds(2), m_now + seconds(2)));
         CPPUNIT_ASSERT_EQUAL(3U, own.list().targets.front().slots);
         CPPUNIT_ASSERT(Duration(seconds(1)) == own.age(m_now + seconds(2)));
     }
--- a/packages/coordination/test/fleet/shared_target_list_test.cpp
+++ b/packages/coordination/test/fleet/shared_target_list_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <array>
+
 namespace {
 
 using ggv::Duration;
@@ -42,7 +44,11 @@
     CPPUNIT_TEST(completeListIsSentForUnknownBase);
     CPPUNIT_TEST(readingAgeAndUpdateTimeAreIndependent);
     CPPUNIT_TEST(coldTimeCountdownKeepsDigest);
+    CPPUNIT_TEST(deltaFromAnEarlierListIsApplied);
+    CPPUNIT_TEST(olderListIsABaseOfLaterOnes);
+    CPPUNIT_TEST(delayedListDoesNotHideTheNextOne);
     CPPUNIT_TEST(receiverConvergesForAnyHistory);
+    CPPUNIT_TEST(receiverFollowsAnySendersAndDelays);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,14 +58,14 @@
         SharedTargetList receiver;
         auto targets = manyTargets();
         sender.replace(targets, Start, Start);
-        CPPUNIT_ASSERT(receiver.apply(sender.report(0, Start), Start));
+        CPPUNIT_ASSERT(receiver.apply(sender.report(0, Start), Start, Start));
         targets[7] = target(7, seconds(3));
         targets.pop_back();
         sender.replace(targets, Start + seconds(1), Start + seconds(1));
         const auto report = sender.report(receiver.digest(), Start + seconds(1));
         // Less than a tenth of the complete list, which takes about 50 bytes per target.
         CPPUNIT_ASSERT(ggv::encodeFleetMessage(report).size() < Targets * 50 / 10);
-        CPPUNIT_ASSERT(receiver.apply(report, Start + seconds(1)));
+        CPPUNIT_ASSERT(receiver.apply(report, Start + seconds(1), Start + seconds(1)));
         CPPUNIT_ASSERT(receiver.list() == sender.list());
     }
 
@@ -71,10 +77,11 @@
         CPPUNIT_ASSERT(sender.report(12345, Start).targets.has_value());
         SharedTargetList receiver;
         auto report = sender.report(sender.digest(), Start + seconds(1));
-        CPPUNIT_ASSERT(!receiver.apply(report, Start + seconds(1)));
+        CPPUNIT_ASSERT(!receiver.apply(report, Start + seconds(1), Start + seconds(1)));
         report.delta = ggv::TargetListDelta { 12345, { 0 }, {} };
-        CPPUNIT_ASSERT(receiver.needsFullList(report, Start + seconds(1)));
-        CPPUNIT_ASSERT(!receiver.apply(report, Start + seconds(1)));
+        CPPUNIT_ASSERT(!receiver.hasReceived(report));
+        CPPUNIT_ASSERT(!receiver.apply(report, Start + seconds(1), Start + seconds(1)));
+        CPPUNIT_ASSERT(!receiver.hasReceived(report));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, receiver.digest());
     }
 
@@ -83,7 +90,8 @@
         SharedTargetList sender;
         sender.replace(manyTargets(), Start, Start + seconds(1));
         SharedTargetList receiver;
-        CPPUNIT_ASSERT(receiver.apply(sender.report(0, Start + seconds(1)), Start + seconds(1)));
+        CPPUNIT_ASSERT(receiver.apply(sender.report(0, Start + seconds(1)), Start + seconds(1),
+                                      Start + seconds(1)));
         CPPUNIT_ASSERT(Duration(seconds(2)) == receiver.age(Start + seconds(2)));
         CPPUNIT_ASSERT(Duration(seconds(1)) == receiver.timeSinceUpdate(Start + seconds(2)));
     }
@@ -108,6 +116,94 @@
         CPPUNIT_ASSERT(digest != list.digest());
     }
 
+    // The sender knows this host's list from a report that is older than the last delta.
+    void deltaFromAnEarlierListIsApplied()
+    {
+        SharedTargetList sender;
+        SharedTargetList receiver;
+        std::vector<std::uint64_t> digests;
+        for (int n = 0; n < 20; ++n) {
+            const Instant now = Start + seconds(n);
+            auto targets = manyTargets();
+            targets[n].leaving = true;
+            sender.replace(targets, now, now);
+            digests.push_back(sender.digest());
+            const auto known = digests[digests.size() / 2];
+            const auto report = sender.report(n < 2 ? 0 : known, now);
+            CPPUNIT_ASSERT(n < 2 || report.delta || known == sender.digest());
+            (void)receiver.apply(report, now, now);
+            CPPUNIT_ASSERT(receiver.list() == sender.list());
+        }
+    }
+
+    // A list that is not newer is not put in force, but the next delta refers to it.
+    void olderListIsABaseOfLaterOnes()
+    {
+        SharedTargetList sender;
+        SharedTargetList receiver;
+        receiver.replace({ target(1) }, Start + seconds(1), Start + seconds(1));
+        sender.replace(manyTargets(), Start, Start);
+        const Instant now = Start + seconds(2);
+        CPPUNIT_ASSERT(!receiver.apply(sender.report(receiver.digest(), now), now, now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, receiver.list().targets.size());
+        CPPUNIT_ASSERT_EQUAL(sender.digest(), receiver.receivedDigest());
+        const auto older = sender.digest();
+        auto targets = manyTargets();
+        targets.pop_back();
+        sender.replace(targets, now, now);
+        const auto report = sender.report(older, now);
+        CPPUNIT_ASSERT(report.delta.has_value());
+        CPPUNIT_ASSERT(receiver.apply(report, now, now));
+        CPPUNIT_ASSERT(receiver.list() == sender.list());
+    }
+
+    void delayedListDoesNotHideTheNextOne()
+    {
+        SharedTargetList first;
+        SharedTargetList second;
+        SharedTargetList receiver;
+        first.replace({ target(1) }, Start, Start);
+        second.replace({ target(2) }, Start + seconds(1), Start + seconds(1));
+        // Sent at once, arrives after two seconds.
+        CPPUNIT_ASSERT(receiver.apply(first.report(0, Start), Start, Start + seconds(2)));
+        const Instant now = Start + seconds(2);
+        CPPUNIT_ASSERT(receiver.apply(second.report(0, now), now, now));
+        CPPUNIT_ASSERT(receiver.list() == second.list());
+    }
+
+    // Each connection delivers in order what one of several senders has sent, after any delay.
+    void receiverFollowsAnySendersAndDelays()
+    {
+        CPPUNIT_ASSERT(rc::check("the receiver has the sender's list after its next report", [] {
+            std::array<SharedTargetList, 2> senders;
+            SharedTargetList receiver;
+            std::size_t connected = 0;
+            std::uint64_t sent = 0;
+            Instant now = Start;
+            const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+                rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 3000)));
+            for (const auto &[step, delay] : steps) {
+                now += seconds(1);
+                if (step == 0) {
+                    connected = 1 - connected;
+                    sent = receiver.receivedDigest();
+                }
+                senders.at(static_cast<std::size_t>(step % 2)).replace({ target(delay) }, now, now);
+                auto &sender = senders.at(connected);
+                const auto report = sender.report(sent, now);
+                sent = sender.digest();
+                const Instant sentAt = now;
+                now += milliseconds(delay);
+                (void)receiver.apply(report, sentAt, now);
+                RC_ASSERT(receiver.hasReceived(report));
+            }
+            auto &sender = senders.at(connected);
+            sender.replace(manyTargets(), now, now);
+            (void)receiver.apply(sender.report(sent, now), now, now + milliseconds(1));
+            RC_ASSERT(receiver.list() == sender.list());
+        }));
+    }
+
     void receiverConvergesForAnyHistory()
     {
         CPPUNIT_ASSERT(rc::check("the receiver's list equals the sender's last delivered list", [] {
@@ -126,7 +222,7 @@
                 sender.replace(targets, now, now);
                 if (!isDelivered)
                     continue;
-                (void)receiver.apply(sender.report(sent, now), now);
+                (void)receiver.apply(sender.report(sent, now), now, now);
                 sent = sender.digest();
                 RC_ASSERT(receiver.list() == sender.list());
             }
