Send a rejected request again on a new connection only

A target that rejects a request for an object that it has is asked once more. The request went out with the same id, often on the same connection. A target that wrote its rejection once more there answered the second request with it, as far as this host could tell: the caller was told "not run, try again" for a request that ran, or it ran at a second target.

Cause: an id tells requests apart, not two sends of one request. Now the second send has a connection of its own, so that nothing that belongs to the first can arrive on it.

lateCopyOfARejectionIsNotTheAnswerToTheNextAttempt failed before: executed 3 times instead of 2. Such retries open one connection more each.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -321,8 +321,17 @@
 void GatewayRequest::admitRejectingTarget()
 {
     const bool isFirstRejection = m_notExecutedCount == 1;
-    if (isFirstRejection && m_choice.target && m_choice.knowsObject)
-        m_query.triedInstances.erase(m_choice.target->listing().instance);
+    if (!isFirstRejection || !m_choice.target || !m_choice.knowsObject)
+        return;
+    m_rejectingInstance = m_choice.target->listing().instance;
+    m_query.triedInstances.erase(m_rejectingInstance);
+}
+
+// A target may send its rejection once more, which only the connection tells from the answer to a
+// second request with the same id.
+bool GatewayRequest::needsNewConnection() const
+{
+    return m_choice.target && m_choice.target->listing().instance == m_rejectingInstance;
 }
 
 // Opens a connection for the exchange. Returns the error if this failed.
@@ -332,7 +341,8 @@
     const Instant connectBy = std::min(m_deadline, m_sentAt + ConnectTimeout);
     std::optional<Error> failure;
     try {
-        m_exchange = co_await m_context.connections().open(endpoint, false, connectBy);
+        m_exchange
+            = co_await m_context.connections().open(endpoint, needsNewConnection(), connectBy);
     } catch (const Error &error) {
         failure = error;
     }
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -69,6 +69,7 @@
     [[nodiscard]] bool mayConnectElsewhere();
     [[nodiscard]] bool mayResendUnexecuted();
     void admitRejectingTarget();
+    [[nodiscard]] bool needsNewConnection() const;
     [[nodiscard]] bool mayUsePeers();
     [[nodiscard]] boost::asio::awaitable<void> completeRequest(AttemptResult end);
     [[nodiscard]] boost::asio::awaitable<void> reject(std::uint16_t status, const char *reason);
@@ -115,6 +116,7 @@
     Bytes m_body;
     std::optional<RequestFingerprint> m_fingerprint; //!< Computed when it is first needed.
     TargetChoice m_choice;
+    std::string m_rejectingInstance; //!< Target that may be sent this request again.
     std::unique_ptr<ClientExchange> m_exchange;
     Instant m_sentAt {};
     std::uint32_t m_sendCount = 0; //!< Attempts in which bytes may have reached a target or peer.
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(rejectingTargetGetsNoRequestForTheStatedTime);
     CPPUNIT_TEST(invalidRetryAfterIsIgnored);
     CPPUNIT_TEST(targetThatHasTheObjectIsAskedOnceMore);
+    CPPUNIT_TEST(lateCopyOfARejectionIsNotTheAnswerToTheNextAttempt);
     CPPUNIT_TEST(statedRateLimitIsKnown);
     CPPUNIT_TEST(rateLimitedTargetGetsNoMoreThanItStates);
     CPPUNIT_TEST(requestsBeyondAllRateLimitsAreRejectedAtOnce);
@@ -304,6 +305,33 @@
         }
     }
 
+    // The target rejects a request, accepts it when it comes again, and sends its rejection once
+    // more on the connection of the first. The request ran at two targets.
+    void lateCopyOfARejectionIsNotTheAnswerToTheNextAttempt()
+    {
+        int received = 0;
+        int executed = 0;
+        GatewayFixture fixture;
+        const auto rejectsOnce = [&](const std::string &request) {
+            ++received;
+            if (received == 2)
+                return notExecuted(request);
+            ++executed;
+            const bool isSameConnection = fixture.target(0).acceptedConnections() == 1;
+            const bool sendsCopy = received == 3 && isSameConnection;
+            return sendsCopy ? notExecuted(request) : success(request);
+        };
+        fixture.addTarget(rejectsOnce);
+        fixture.addTarget([&executed](const std::string &request) {
+            ++executed;
+            return success(request);
+        });
+        fixture.start(RouteKind::NonIdempotent, 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call().substr(9, 3));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call().substr(9, 3));
+        CPPUNIT_ASSERT_EQUAL(2, executed);
+    }
+
     void statedRateLimitIsKnown()
     {
         GatewayFixture limited;
