Believe a rejection without a request id only on a new connection

A rejection that carried no id was believed on any connection. On a kept one it may be that of an earlier request, sent once more: the caller was told "not run", or the request ran at a second target; a 421 of that kind took a working target out of use.

Targets name the id in their answers. One without an id belongs to this request only if the connection has carried no other; on a reused connection it promises nothing now: idempotent requests are retried, others get 502.

rejectionWithoutIdOnAReusedConnectionIsNotBelieved failed before (200 instead of 502); a new row of eachTargetFailureGivesItsStatus keeps the case of a new connection.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request_answer.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request_answer.cpp
@@ -79,6 +79,10 @@
     const bool isForeign = !m_requestId.empty() && id != nullptr && *id != m_requestId;
     if (isForeign)
         throw Error(ResultCode::ProtocolViolation, "response carries the id of another request");
+    // It may belong to an earlier request on this connection.
+    if (!m_requestId.empty() && id == nullptr && m_exchange->reused())
+        throw Error(ResultCode::ProtocolViolation,
+                    "response on a reused connection carries no request id");
     if (head.status == StatusMisdirected) {
         m_context.targets().observeReplaced(*m_choice.target, monotonicNow());
         return AttemptResult::NotExecuted;
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -69,6 +69,10 @@
 {
     return { answer("503", "Id: 2\r\nNot-Run: 1\r\n", "full"), false, false };
 }
+inline ScriptedAnswer notExecutedWithoutId(const std::string &)
+{
+    return { answer("503", "Not-Run: 1\r\n", "full"), false, false };
+}
 inline ScriptedAnswer misdirectedOfAnotherRequest(const std::string &)
 {
     return { answer("421", "Id: 2\r\nInstance: x\r\n", ""), false, false };
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -31,6 +31,8 @@
     { "truncated, non-idempotent", truncated, RouteKind::NonIdempotent, "502", 1 },
     { "not executed, idempotent", notExecuted, RouteKind::Idempotent, "200", 2 },
     { "not executed, non-idempotent", notExecuted, RouteKind::NonIdempotent, "200", 2 },
+    { "not executed without id on a new connection", notExecutedWithoutId, RouteKind::NonIdempotent,
+      "200", 2 },
     { "target replaced, idempotent", replacedTarget, RouteKind::Idempotent, "200", 2 },
     { "target replaced, non-idempotent", replacedTarget, RouteKind::NonIdempotent, "200", 2 },
     { "wrong request id, idempotent", wrongRequestId, RouteKind::Idempotent, "200", 2 },
@@ -72,6 +74,7 @@
     CPPUNIT_TEST(invalidRetryAfterIsIgnored);
     CPPUNIT_TEST(targetThatHasTheObjectIsAskedOnceMore);
     CPPUNIT_TEST(lateCopyOfARejectionIsNotTheAnswerToTheNextAttempt);
+    CPPUNIT_TEST(rejectionWithoutIdOnAReusedConnectionIsNotBelieved);
     CPPUNIT_TEST(statedRateLimitIsKnown);
     CPPUNIT_TEST(rateLimitedTargetGetsNoMoreThanItStates);
     CPPUNIT_TEST(requestsBeyondAllRateLimitsAreRejectedAtOnce);
@@ -332,6 +335,25 @@
         CPPUNIT_ASSERT_EQUAL(2, executed);
     }
 
+    // It may be that of an earlier request, sent once more. A 421 that is not this request's is no
+    // evidence of another target at the address either.
+    void rejectionWithoutIdOnAReusedConnectionIsNotBelieved()
+    {
+        for (const auto &rejection : { notExecutedWithoutId, replacedTarget }) {
+            std::atomic<int> received { 0 };
+            GatewayFixture fixture;
+            fixture.addTarget([&](const std::string &request) {
+                return ++received == 2 ? rejection(request) : success(request);
+            });
+            fixture.addTarget(success);
+            fixture.start(RouteKind::NonIdempotent, 2);
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call().substr(9, 3));
+            CPPUNIT_ASSERT_EQUAL(std::string("502"), fixture.call().substr(9, 3));
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call().substr(9, 3));
+            CPPUNIT_ASSERT_EQUAL(3, received.load());
+        }
+    }
+
     void statedRateLimitIsKnown()
     {
         GatewayFixture limited;
