Show that a head that is cut anywhere is no answer

Another operator saw a 200 with an empty or short body, framed as whole, after a target stopped within the head of its answer. It can not happen here: four heads (with a length, ending with the connection, a rejection, behind an interim response), cut after each byte, give 502. The test passed at once; no code is changed.

--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(targetThatHasTheObjectIsAskedOnceMore);
     CPPUNIT_TEST(lateCopyOfARejectionIsNotTheAnswerToTheNextAttempt);
     CPPUNIT_TEST(rejectionWithoutIdOnAReusedConnectionIsNotBelieved);
+    CPPUNIT_TEST(headThatIsCutAnywhereIsNoAnswer);
     CPPUNIT_TEST(statedRateLimitIsKnown);
     CPPUNIT_TEST(rateLimitedTargetGetsNoMoreThanItStates);
     CPPUNIT_TEST(requestsBeyondAllRateLimitsAreRejectedAtOnce);
@@ -354,6 +355,31 @@
         }
     }
 
+    // A head without its end, whatever was received of it, gives neither a success nor a promise.
+    void headThatIsCutAnywhereIsNoAnswer()
+    {
+        const std::string ends = "\r\n\r\n";
+        for (const std::string &whole :
+             { "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader + "Content-Length: 5" + ends,
+               "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader + "Connection: close" + ends,
+               "HTTP/1.1 503 Full\r\n" + IdHeader + "Not-Run: 1\r\nContent-Length: 0" + ends,
+               "HTTP/1.1 100 Continue" + ends + "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader
+                   + "\r\n" }) {
+            std::atomic<std::size_t> size { 0 };
+            GatewayFixture fixture;
+            fixture.addTarget([&](const std::string &) {
+                return ScriptedAnswer { whole.substr(0, size), true, false };
+            });
+            fixture.start(RouteKind::NonIdempotent, 2);
+            for (size = 0; size < whole.size(); ++size) {
+                const auto text = fixture.call();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(whole.substr(0, size), std::string("502"),
+                                             text.substr(9, 3));
+            }
+            CPPUNIT_ASSERT_EQUAL(whole.size(), fixture.receivedRequests());
+        }
+    }
+
     void statedRateLimitIsKnown()
     {
         GatewayFixture limited;
