--- a/packages/state/test/routing/overloaded_fleet_test.cpp
+++ b/packages/state/test/routing/overloaded_fleet_test.cpp
@@ -18,6 +18,8 @@
 constexpr Duration FillTime = seconds(14);
 //! Time within which the deployments' operators expect service to recover from losses.
 constexpr Duration RecoveryTime = seconds(15);
+//! Time in which empty caches are filled.
+constexpr Duration CacheFillTime = seconds(12);
 //! Share of requests answered on time that counts as recovered.
 constexpr double RecoveredShare = 0.95;
 
@@ -90,7 +92,7 @@
         shape.requestsPerSecond = 700.0;
         for (std::uint64_t seed = 1; seed <= SeedCount; ++seed) {
             OverloadedFleet fleet(shape, seed);
-            fleet.run(RecoveryTime);
+            fleet.run(CacheFillTime);
             checkRecovered(fleet, seed);
         }
     }
