Move the polling of the platform's list out of the control host

No behaviour changes: TargetListDistributionTest, ControlHostTest and ConfigurationDistributionTest pass as before.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -11,22 +11,19 @@
 #include <ggv/coordination/fleet/membership_policy.hpp>
 #include <ggv/coordination/fleet/rate_limit_assignment.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
+#include <ggv/coordination/fleet/target_list_poller.hpp>
 #include <ggv/coordination/fleet/target_state_relay.hpp>
 #include <ggv/coordination/node/host_identity.hpp>
 #include <ggv/coordination/quorum/quorum.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
-#include <ggv/state/core/random_source.hpp>
 #include <ggv/state/log/event_log.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
 #include <algorithm>
 #include <set>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace ggv {
 
@@ -36,13 +33,6 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 constexpr Duration HostObservationInterval = std::chrono::milliseconds(400);
-//! Interval at which the leader reads the platform's target list.
-constexpr Duration ListInterval = std::chrono::milliseconds(900);
-//! A host that is not the leader reads the list itself if it obtained no newer one for this long.
-constexpr Duration ListUpdateTimeout = std::chrono::milliseconds(1600);
-//! Upper bound of a random delay added to ListUpdateTimeout, so that hosts do not read
-//! simultaneously.
-constexpr Duration ListUpdateJitter = std::chrono::milliseconds(500);
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(80);
 constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(300);
 constexpr Duration ElectionTimeoutMax = std::chrono::milliseconds(600);
@@ -70,7 +60,6 @@
         , m_timer(context)
         , m_stateMachine([this] { onStateChanged(); })
         , m_mesh(context, [this](const Endpoint &peer) { sendInitialReports(peer); })
-        , m_random(randomNumber())
     { }
 
     void start()
@@ -92,9 +81,7 @@
         m_started = true;
         observeSelf();
         tick();
-        asio::co_spawn(
-            m_context, [self = shared_from_this()] { return self->readListLoop(); },
-            asio::detached);
+        startListPoller();
         logEvent(LogLevel::Info, "control-host-started",
                  { { "member", m_setup.self.member },
                    { "incarnation", incarnation },
@@ -102,6 +89,21 @@
                    { "version", m_stateMachine.state().version } });
     }
 
+    void startListPoller()
+    {
+        const auto weak = weak_from_this();
+        m_listPoller = TargetListPoller::start(
+            m_context, m_reader, m_list,
+            { [weak] {
+                 const auto self = weak.lock();
+                 return self && self->m_quorum->status().role == RaftRole::Leader;
+             },
+              [weak] {
+                  if (const auto self = weak.lock())
+                      self->sendListToAll();
+              } });
+    }
+
     // Seed hosts bootstrap the quorum; all other hosts are added to it later.
     QuorumSetup quorumSetup(std::uint64_t incarnation) const
     {
@@ -171,7 +173,7 @@
 
     HostReport ownReport() const
     {
-        return { m_setup.self, m_stateMachine.state().revision, m_list.digest() };
+        return { m_setup.self, m_stateMachine.state().revision, m_list->digest() };
     }
 
     void sendInitialReports(const Endpoint &peer)
@@ -179,7 +181,7 @@
         m_sentDigests.erase(peer); // The peer may have restarted without the list.
         m_mesh.send(peer, ownReport());
         m_mesh.send(peer, HostObservationReport { ownHostObservations(monotonicNow()) });
-        m_mesh.send(peer, m_list.report(0, monotonicNow()));
+        m_mesh.send(peer, m_list->report(0, monotonicNow()));
     }
 
     // Entry hosts attached to this host, and all control hosts so that members can find each other.
@@ -303,10 +305,10 @@
     void handle(Session &session, const TargetListReport &report)
     {
         const Instant now = monotonicNow();
-        if (m_list.apply(report, now, now))
+        if (m_list->apply(report, now, now))
             sendListToEntryHosts();
         // The report contains this host's digest, so that the sender sends the complete list next.
-        if (session.report && !m_list.hasReceived(report))
+        if (session.report && !m_list->hasReceived(report))
             m_mesh.send(session.report->host.internal, ownReport());
     }
 
@@ -332,8 +334,8 @@
         if (forEntry.targets.empty())
             return;
         const Bytes bytes = encodeFleetMessage(forEntry);
-        const auto shares
-            = assignRateLimits(forEntry.targets, m_directory.known(HostRole::Entry), m_list.list());
+        const auto shares = assignRateLimits(forEntry.targets, m_directory.known(HostRole::Entry),
+                                             m_list->list());
         for (auto &[id, session] : m_sessions) {
             if (!session.report || session.report->host.role != HostRole::Entry)
                 continue;
@@ -415,10 +417,10 @@
 
     void sendList(Session &session, Instant now)
     {
-        const TargetListReport report = m_list.report(session.list.sent(), now);
+        const TargetListReport report = m_list->report(session.list.sent(), now);
         m_completeLists += report.targets ? 1 : 0;
         Bytes bytes = encodeFleetMessage(report);
-        session.list.onSent(m_list.digest(), now);
+        session.list.onSent(m_list->digest(), now);
         m_listBytes += bytes.size();
         session.connection->send(std::move(bytes));
     }
@@ -427,7 +429,7 @@
     {
         for (auto &[id, session] : m_sessions) {
             const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
-            if (isEntry && session.list.sent() != m_list.digest())
+            if (isEntry && session.list.sent() != m_list->digest())
                 sendList(session, monotonicNow());
         }
     }
@@ -509,8 +511,8 @@
         gauges.voters = status.voters.size();
         gauges.commitIndex = status.commitIndex;
         gauges.entryHosts = m_directory.alive(HostRole::Entry, now).size();
-        gauges.listAge = m_list.age(now);
-        gauges.listReadTime = m_listReadTime;
+        gauges.listAge = m_list->age(now);
+        gauges.listReadTime = m_listPoller->lastReadTime();
         gauges.completeLists = m_completeLists;
         gauges.configurationBytes = m_configurationBytes;
         gauges.listBytes = m_listBytes;
@@ -520,62 +522,15 @@
         return gauges;
     }
 
-    asio::awaitable<void> readListLoop()
-    {
-        asio::steady_timer timer(m_context);
-        while (true) {
-            if (isListReadDue(monotonicNow()))
-                co_await readTargetList();
-            timer.expires_after(TickInterval);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
-    }
-
-    bool isListReadDue(Instant now)
-    {
-        const auto status = m_quorum->status();
-        const Duration age = m_list.age(now);
-        if (status.role == RaftRole::Leader)
-            return age >= ListInterval && now - m_lastListReadAt >= ListInterval;
-        // Measured from the arrival of the list, not from its reading: a list from a distant host
-        // is old on arrival, and reading it again from here would not give a newer one.
-        const Duration jitter(static_cast<Duration::rep>(
-            uniformFraction(m_random) * static_cast<double>(ListUpdateJitter.count())));
-        return m_list.timeSinceUpdate(now) >= ListUpdateTimeout + jitter
-            && now - m_lastListReadAt >= ListInterval * 2;
-    }
-
-    asio::awaitable<void> readTargetList()
+    void sendListToAll()
     {
-        const Instant startedAt = monotonicNow();
-        m_lastListReadAt = startedAt;
-        try {
-            auto targets = co_await m_reader.read();
-            const Instant now = monotonicNow();
-            m_listReadTime = now - startedAt;
-            m_list.replace(std::move(targets), startedAt, now);
-            updateListReadable(true, "");
-        } catch (const Error &error) {
-            updateListReadable(false, error.what());
-            co_return;
-        }
         for (const auto &peer : m_mesh.connected())
-            m_mesh.send(
-                peer,
-                m_list.report(std::exchange(m_sentDigests[peer], m_list.digest()), monotonicNow()));
+            m_mesh.send(peer,
+                        m_list->report(std::exchange(m_sentDigests[peer], m_list->digest()),
+                                       monotonicNow()));
         sendListToEntryHosts();
     }
 
-    void updateListReadable(bool readable, const char *reason)
-    {
-        if (m_listReadable == readable)
-            return;
-        m_listReadable = readable;
-        logEvent(readable ? LogLevel::Info : LogLevel::Warning,
-                 readable ? "target-list-regained" : "target-list-lost",
-                 { { "reason", reason }, { "age_ms", m_list.age(monotonicNow()).count() / 1000 } });
-    }
-
     asio::io_context &m_context;
     ControlHostSetup m_setup;
     TargetListReader &m_reader;
@@ -590,20 +545,17 @@
     std::uint64_t m_lastSession = 0;
     std::map<Endpoint, std::uint64_t> m_sentDigests; //!< Digest of the list last sent to or
                                                      //!< reported by each control host.
-    SharedTargetList m_list;
+    std::shared_ptr<SharedTargetList> m_list = std::make_shared<SharedTargetList>();
+    std::shared_ptr<TargetListPoller> m_listPoller;
     DocumentHistory m_documents;
     TargetStateRelay m_stateRelay;
-    RandomSource m_random;
     std::uint64_t m_configurationBytes = 0; //!< Sent to entry hosts since the start.
     std::uint64_t m_listBytes = 0; //!< Sent to entry hosts since the start.
     std::uint64_t m_completeLists = 0; //!< Sent to entry hosts since the start.
-    Duration m_listReadTime { 0 }; //!< Duration of this host's last reading of the target list.
     Instant m_hostObservationsSentAt = Instant(Duration(0));
-    Instant m_lastListReadAt = Instant(Duration(0));
     Instant m_leaderSince {};
     Instant m_memberStepAt = Instant(Duration(0));
     MemberId m_knownLeader = 0;
-    bool m_listReadable = true;
     bool m_started = false;
     bool m_feedPending = false;
 };
