Bind the query of a whole list before the coroutine that reads it

scripts/check-coroutines found a string literal in a co_await expression of: g++ 12 allocates too small a frame for it.

--- a/packages/coordination/ggv/coordination/fleet/target_list_poller.cpp
+++ b/packages/coordination/ggv/coordination/fleet/target_list_poller.cpp
@@ -31,6 +31,7 @@
 {
     std::shared_ptr<TargetListPoller> poller(
         new TargetListPoller(reader, std::move(list), std::move(handlers)));
+    // The function lives as long as the coroutine.
     asio::co_spawn(
         context, [poller, &context] { return poller->run(context); }, asio::detached);
     return poller;
@@ -46,7 +47,6 @@
 
 asio::awaitable<void> TargetListPoller::run(asio::io_context &context)
 {
-    const auto self = shared_from_this();
     asio::steady_timer timer(context);
     while (true) {
         if (isReadDue(monotonicNow()))
--- a/packages/coordination/ggv/coordination/fleet/target_list_poller.hpp
+++ b/packages/coordination/ggv/coordination/fleet/target_list_poller.hpp
@@ -16,7 +16,7 @@
  * @brief Reads the platform's target list periodically on the leader. Another control host reads it
  * only if it obtains no newer list for some time. Runs on one event loop.
  */
-class TargetListPoller : public std::enable_shared_from_this<TargetListPoller>
+class TargetListPoller
 {
 public:
     struct Handlers
--- a/packages/coordination/test/fleet/target_list_distribution_test.cpp
+++ b/packages/coordination/test/fleet/target_list_distribution_test.cpp
@@ -38,6 +38,7 @@
         const auto leaving = static_cast<int>(m_listedAt.size());
         m_listedAt.push_back(ggv::monotonicNow());
         std::vector<ggv::ListedTarget> targets;
+        targets.reserve(Targets);
         for (int n = 0; n < Targets; ++n)
             targets.push_back(target(n, n <= leaving));
         co_return targets;
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -358,13 +358,19 @@
     // A head without its end, whatever was received of it, gives neither a success nor a promise.
     void headThatIsCutAnywhereIsNoAnswer()
     {
-        const std::string ends = "\r\n\r\n";
-        for (const std::string &whole :
-             { "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader + "Content-Length: 5" + ends,
-               "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader + "Connection: close" + ends,
-               "HTTP/1.1 503 Full\r\n" + IdHeader + "Not-Run: 1\r\nContent-Length: 0" + ends,
-               "HTTP/1.1 100 Continue" + ends + "HTTP/1.1 200 OK\r\n" + IdHeader + MarkerHeader
-                   + "\r\n" }) {
+        const std::string id = IdHeader;
+        const std::string own = id + MarkerHeader;
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        std::vector<std::string> heads;
+        for (const char *it : { "Content-Length: 5\r\n\r\n", "Connection: close\r\n\r\n" }) {
+            heads.push_back("HTTP/1.1 200 OK\r\n");
+            heads.back().append(own).append(it);
+        }
+        heads.push_back("HTTP/1.1 503 Full\r\n");
+        heads.back().append(id).append("Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        heads.push_back(interim);
+        heads.back().append("HTTP/1.1 200 OK\r\n").append(own).append("\r\n");
+        for (const auto &whole : heads) {
             std::atomic<std::size_t> size { 0 };
             GatewayFixture fixture;
             fixture.addTarget([&](const std::string &) {
