--- a/packages/coordination/ggv/coordination/gateway/header_values.cpp
+++ b/packages/coordination/ggv/coordination/gateway/header_values.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 namespace ggv {
 
@@ -48,7 +49,7 @@
     for (std::size_t n = 0; n < numbers.size(); ++n) {
         const auto end = text.find(',');
         const auto number = parseInteger(text.substr(0, end));
-        if (!number || *number < 0)
+        if (!number || !std::in_range<std::uint32_t>(*number))
             return std::nullopt;
         numbers.at(n) = static_cast<std::uint32_t>(*number);
         text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
--- a/packages/coordination/test/gateway/header_values_test.cpp
+++ b/packages/coordination/test/gateway/header_values_test.cpp
@@ -1,6 +1,10 @@
 #include <ggv/coordination/gateway/header_values.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <string>
 
 namespace {
 
@@ -15,9 +19,40 @@
     CPPUNIT_TEST(parsesLoadOfThreeNumbers);
     CPPUNIT_TEST(secondsHaveThreeDecimals);
     CPPUNIT_TEST(parsesOnlyFiniteSeconds);
+    CPPUNIT_TEST(loadBeyondItsRangeIsUnreadable);
+    CPPUNIT_TEST(anyTextIsReadOrRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // The number of a target that is full read as one that is free.
+    void loadBeyondItsRangeIsUnreadable()
+    {
+        for (const char *it : { "4294967296,0,8", "0,4294967297,8", "0,0,99999999999", "-1,0,8" })
+            CPPUNIT_ASSERT_MESSAGE(it, !ggv::parseLoad(it));
+        CPPUNIT_ASSERT(ggv::parseLoad("4294967295,0,8") == (ReportedLoad { 4294967295U, 0, 8 }));
+    }
+
+    // Values of targets and callers: arbitrary bytes, and numbers among other characters.
+    void anyTextIsReadOrRejected()
+    {
+        const auto text = rc::gen::oneOf(
+            rc::gen::arbitrary<std::string>(),
+            rc::gen::container<std::string>(rc::gen::element<char>(
+                '0', '1', '9', '-', '+', '.', ',', 'e', 'n', 'a', 'i', 'f', ';', '=', ' ', '\0')));
+        CPPUNIT_ASSERT(rc::check("header values are read or rejected", [&text] {
+            const std::string value = *text;
+            (void)ggv::parseInteger(value);
+            (void)ggv::parseLoad(value);
+            if (const auto number = ggv::parseNonNegative(value))
+                RC_ASSERT(std::isfinite(*number) && *number >= 0.0);
+            if (const auto seconds = ggv::parseSeconds(value))
+                RC_ASSERT(*seconds >= ggv::Duration(0) && *seconds <= std::chrono::hours(24));
+            const HttpHeaders headers { { "Cookie", value } };
+            if (const auto cookie = ggv::findCookie(headers, "a"))
+                RC_ASSERT(value.find("a=" + std::string(*cookie)) != std::string::npos);
+        }));
+    }
+
     void parsesOnlyIntegers()
     {
         CPPUNIT_ASSERT(ggv::parseInteger("250") == 250);
