--- a/packages/coordination/test/fleet/shared_target_list_test.cpp
+++ b/packages/coordination/test/fleet/shared_target_list_test.cpp
@@ -171,36 +171,41 @@
         CPPUNIT_ASSERT(receiver.list() == second.list());
     }
 
-    // Each connection delivers in order what one of several senders has sent, after any delay.
+    // In each round, one sender's list is delayed while both senders read newer ones; the host then
+    // connects to the one with the newest list, and back to the other.
     void receiverFollowsAnySendersAndDelays()
     {
-        CPPUNIT_ASSERT(rc::check("the receiver has the sender's list after its next report", [] {
+        CPPUNIT_ASSERT(rc::check("the receiver has the newest list that it was sent", [] {
             std::array<SharedTargetList, 2> senders;
             SharedTargetList receiver;
-            std::size_t connected = 0;
-            std::uint64_t sent = 0;
             Instant now = Start;
-            const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-                rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 3000)));
-            for (const auto &[step, delay] : steps) {
+            const auto rounds = *rc::gen::nonEmpty(
+                rc::gen::container<std::vector<int>>(rc::gen::inRange(4, 3000)));
+            for (std::size_t n = 0; n < rounds.size(); ++n) {
+                auto &first = senders.at(n % 2);
+                auto &second = senders.at(1 - n % 2);
+                const milliseconds delay(rounds[n]);
+                const auto number = static_cast<std::size_t>(n) * 3 % Targets;
                 now += seconds(1);
-                if (step == 0) {
-                    connected = 1 - connected;
-                    sent = receiver.receivedDigest();
-                }
-                senders.at(static_cast<std::size_t>(step % 2)).replace({ target(delay) }, now, now);
-                auto &sender = senders.at(connected);
-                const auto report = sender.report(sent, now);
-                sent = sender.digest();
-                const Instant sentAt = now;
-                now += milliseconds(delay);
-                (void)receiver.apply(report, sentAt, now);
-                RC_ASSERT(receiver.hasReceived(report));
+                replaceOne(first, number, now);
+                const auto delayed = first.report(receiver.receivedDigest(), now);
+                replaceOne(second, number + 1, now + delay / 2);
+                (void)receiver.apply(delayed, now, now + delay);
+                RC_ASSERT(receiver.list() == first.list());
+                replaceOne(first, number + 3, now + delay / 4);
+                now += delay;
+                deliver(second, receiver, now);
+                RC_ASSERT(receiver.list() == second.list());
+                const auto older = first.digest();
+                deliver(first, receiver, now);
+                RC_ASSERT(receiver.list() == second.list());
+                now += seconds(1);
+                replaceOne(first, number + 2, now);
+                const auto delta = first.report(older, now);
+                RC_ASSERT(delta.delta.has_value());
+                (void)receiver.apply(delta, now, now);
+                RC_ASSERT(receiver.list() == first.list());
             }
-            auto &sender = senders.at(connected);
-            sender.replace(manyTargets(), now, now);
-            (void)receiver.apply(sender.report(sent, now), now, now + milliseconds(1));
-            RC_ASSERT(receiver.list() == sender.list());
         }));
     }
 
@@ -228,6 +233,20 @@
             }
         }));
     }
+
+private:
+    // A reading in which one target is leaving.
+    static void replaceOne(SharedTargetList &list, std::size_t number, Instant readAt)
+    {
+        auto targets = manyTargets();
+        targets.at(number % Targets).leaving = true;
+        list.replace(std::move(targets), readAt, readAt);
+    }
+
+    static void deliver(SharedTargetList &sender, SharedTargetList &receiver, Instant now)
+    {
+        (void)receiver.apply(sender.report(receiver.receivedDigest(), now), now, now);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SharedTargetListTest);
