Expose what holds a control host's memory as metrics

The logs and metrics could not tell the log in memory from the documents retained as bases of updates, the send queues and memory that the allocator keeps.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -210,6 +210,9 @@
     status.commitIndex = m_commitIndex;
     status.lastIndex = m_log.lastIndex();
     status.snapshotIndex = m_log.snapshot().index;
+    status.logEntries = m_log.size();
+    status.logBytes = m_log.bytes();
+    status.snapshotBytes = m_log.snapshot().state.size();
     status.voters = members().voters;
     status.learners = members().learners;
     return status;
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -68,6 +68,9 @@
     LogIndex commitIndex = 0;
     LogIndex lastIndex = 0;
     LogIndex snapshotIndex = 0;
+    std::uint64_t logEntries = 0; //!< Number of entries in memory.
+    std::uint64_t logBytes = 0; //!< Payload of the entries in memory.
+    std::uint64_t snapshotBytes = 0; //!< State of the latest snapshot.
     std::vector<MemberId> voters;
     std::vector<MemberId> learners;
 };
--- a/packages/coordination/ggv/coordination/consensus/raft_log.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_log.cpp
@@ -13,7 +13,10 @@
     , m_baseTerm(m_snapshot.term)
     , m_entries(std::make_move_iterator(entries.begin()), std::make_move_iterator(entries.end()))
     , m_durable(lastIndex())
-{ }
+{
+    for (const LogEntry &entry : m_entries)
+        m_bytes += entry.payload.size();
+}
 
 Term RaftLog::lastTerm() const noexcept
 {
@@ -62,6 +65,7 @@
 {
     m_store.append({ entry });
     truncateFrom(entry.index);
+    m_bytes += entry.payload.size();
     m_entries.push_back(std::move(entry));
 }
 
@@ -75,8 +79,10 @@
 
 void RaftLog::truncateFrom(LogIndex index)
 {
-    if (index <= lastIndex())
-        m_entries.resize(index - m_baseIndex - 1);
+    while (index <= lastIndex()) {
+        m_bytes -= m_entries.back().payload.size();
+        m_entries.pop_back();
+    }
     m_durable = std::min(m_durable, index - 1);
 }
 
@@ -84,11 +90,17 @@
 {
     m_store.saveSnapshot(snapshot);
     m_snapshot = std::move(snapshot);
-    while (m_baseIndex + retainedEntries < m_snapshot.index) {
-        m_baseIndex = m_entries.front().index;
-        m_baseTerm = m_entries.front().term;
-        m_entries.pop_front();
-    }
+    while (m_baseIndex + retainedEntries < m_snapshot.index)
+        popFront();
+}
+
+void RaftLog::popFront()
+{
+    const LogEntry &first = m_entries.front();
+    m_baseIndex = first.index;
+    m_baseTerm = first.term;
+    m_bytes -= first.payload.size();
+    m_entries.pop_front();
 }
 
 void RaftLog::install(const Snapshot &snapshot)
@@ -96,10 +108,11 @@
     m_store.saveSnapshot(snapshot);
     m_snapshot = snapshot;
     if (termAt(snapshot.index) == snapshot.term) {
-        const auto covered = static_cast<std::ptrdiff_t>(snapshot.index - m_baseIndex);
-        m_entries.erase(m_entries.begin(), m_entries.begin() + covered);
+        while (m_baseIndex < snapshot.index)
+            popFront();
     } else {
         m_entries.clear();
+        m_bytes = 0;
     }
     m_baseIndex = snapshot.index;
     m_baseTerm = snapshot.term;
--- a/packages/coordination/ggv/coordination/consensus/raft_log.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_log.hpp
@@ -35,6 +35,10 @@
     [[nodiscard]] const Snapshot &snapshot() const noexcept { return m_snapshot; }
     [[nodiscard]] LogIndex lastIndex() const noexcept { return m_baseIndex + m_entries.size(); }
     [[nodiscard]] Term lastTerm() const noexcept;
+    //! Returns the number of entries in memory.
+    [[nodiscard]] std::uint64_t size() const noexcept { return m_entries.size(); }
+    //! Returns the total payload of the entries in memory, in bytes.
+    [[nodiscard]] std::uint64_t bytes() const noexcept { return m_bytes; }
     //! Returns the index of the last durable entry.
     [[nodiscard]] LogIndex durableIndex() const noexcept { return m_durable; }
     //! Returns the term of an entry, or std::nullopt if it is not in memory. Index 0 has term 0.
@@ -71,12 +75,14 @@
 
 private:
     void truncateFrom(LogIndex index);
+    void popFront();
 
     LogStore &m_store;
     Snapshot m_snapshot;
     LogIndex m_baseIndex; // Index of the entry before the first one in memory.
     Term m_baseTerm;
     std::deque<LogEntry> m_entries;
+    std::uint64_t m_bytes = 0; // Total payload of m_entries.
     LogIndex m_durable;
 };
 
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -519,6 +519,13 @@
         for (const auto &[id, session] : m_sessions)
             gauges.maxQueuedBytes
                 = std::max(gauges.maxQueuedBytes, session.connection->queuedBytes());
+        gauges.maxPeerQueuedBytes = m_mesh.maxQueuedBytes();
+        gauges.logEntries = status.logEntries;
+        gauges.logBytes = status.logBytes;
+        gauges.snapshotBytes = status.snapshotBytes;
+        gauges.documentBytes = m_documents.documentBytes();
+        gauges.updateBytes = m_documents.updateBytes();
+        gauges.allocator = allocatorUsage();
         return gauges;
     }
 
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
@@ -6,8 +6,16 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <malloc.h>
+
 namespace ggv {
 
+AllocatorUsage allocatorUsage() noexcept
+{
+    const auto info = ::mallinfo2();
+    return { info.uordblks + info.hblkhd, info.fordblks };
+}
+
 std::string metricsText(const ControlGauges &gauges)
 {
     prometheus::Registry registry;
@@ -38,6 +46,22 @@
         static_cast<double>(gauges.completeLists));
     add("ggv_control_max_queued_bytes", "Longest send queue of an attached entry host",
         static_cast<double>(gauges.maxQueuedBytes));
+    add("ggv_control_max_peer_queued_bytes", "Longest send queue of another control host",
+        static_cast<double>(gauges.maxPeerQueuedBytes));
+    add("ggv_control_log_entries", "Entries of the quorum's log in memory",
+        static_cast<double>(gauges.logEntries));
+    add("ggv_control_log_bytes", "Payload of the entries of the quorum's log in memory",
+        static_cast<double>(gauges.logBytes));
+    add("ggv_control_snapshot_bytes", "State of the latest snapshot of the quorum",
+        static_cast<double>(gauges.snapshotBytes));
+    add("ggv_control_document_bytes", "Configurations retained as bases of updates",
+        static_cast<double>(gauges.documentBytes));
+    add("ggv_control_update_bytes", "Encoded configuration updates retained for receivers",
+        static_cast<double>(gauges.updateBytes));
+    add("ggv_allocator_used_bytes", "Memory in live allocations",
+        static_cast<double>(gauges.allocator.used));
+    add("ggv_allocator_unused_bytes", "Freed memory not returned to the operating system",
+        static_cast<double>(gauges.allocator.unused));
     add("ggv_log_lines_dropped", "Log lines that nobody read in time",
         static_cast<double>(droppedLogLines()));
     return prometheus::TextSerializer().Serialize(registry.Collect());
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
@@ -7,6 +7,16 @@
 
 namespace ggv {
 
+//! Memory that the allocator has taken from the operating system, in bytes.
+struct AllocatorUsage
+{
+    std::size_t used = 0; //!< In live allocations.
+    std::size_t unused = 0; //!< Freed, but not returned to the operating system.
+};
+
+//! @return The allocator's current usage.
+[[nodiscard]] AllocatorUsage allocatorUsage() noexcept;
+
 //! Gauges of a control host, sampled at each scrape.
 struct ControlGauges
 {
@@ -23,6 +33,13 @@
     std::uint64_t listBytes = 0; //!< Bytes of target lists sent to entry hosts since the start.
     std::uint64_t completeLists = 0; //!< Sent to entry hosts since the start, not as a delta.
     std::size_t maxQueuedBytes = 0; //!< Longest send queue of an attached entry host.
+    std::size_t maxPeerQueuedBytes = 0; //!< Longest send queue of another control host.
+    std::uint64_t logEntries = 0; //!< Entries of the quorum's log in memory.
+    std::uint64_t logBytes = 0; //!< Payload of the entries in memory.
+    std::uint64_t snapshotBytes = 0; //!< State of the latest snapshot.
+    std::size_t documentBytes = 0; //!< Configurations retained as bases of updates.
+    std::size_t updateBytes = 0; //!< Encoded updates retained for receivers.
+    AllocatorUsage allocator;
 };
 
 //! @return The gauges in the Prometheus text format.
--- a/packages/coordination/ggv/coordination/fleet/document_history.cpp
+++ b/packages/coordination/ggv/coordination/fleet/document_history.cpp
@@ -30,6 +30,22 @@
     }
 }
 
+std::size_t DocumentHistory::documentBytes() const noexcept
+{
+    std::size_t bytes = m_newest.bytes.size();
+    for (const auto &it : m_bases)
+        bytes += it.bytes.size();
+    return bytes;
+}
+
+std::size_t DocumentHistory::updateBytes() const noexcept
+{
+    std::size_t bytes = 0;
+    for (const auto &[heldVersion, update] : m_updates)
+        bytes += update.content.size();
+    return bytes;
+}
+
 const DocumentUpdate &DocumentHistory::updateFrom(std::uint64_t heldVersion)
 {
     const auto it = m_updates.find(heldVersion);
--- a/packages/coordination/ggv/coordination/fleet/document_history.hpp
+++ b/packages/coordination/ggv/coordination/fleet/document_history.hpp
@@ -27,6 +27,10 @@
     void add(std::uint64_t version, const Bytes &document);
     //! @return Version of the newest document; 0 if there is none.
     [[nodiscard]] std::uint64_t version() const noexcept { return m_newest.version; }
+    //! @return Total size of the retained documents, in bytes.
+    [[nodiscard]] std::size_t documentBytes() const noexcept;
+    //! @return Total size of the retained updates, in bytes.
+    [[nodiscard]] std::size_t updateBytes() const noexcept;
     //! @return The update to the newest document for a receiver that holds the given version.
     [[nodiscard]] const DocumentUpdate &updateFrom(std::uint64_t heldVersion);
 
--- a/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
@@ -4,6 +4,8 @@
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
 
+#include <algorithm>
+
 namespace ggv {
 
 FrameOptions fleetFrameOptions()
@@ -64,6 +66,16 @@
     return endpoints;
 }
 
+std::size_t FleetMesh::maxQueuedBytes() const noexcept
+{
+    std::size_t longest = 0;
+    for (const auto &[endpoint, peer] : m_peers) {
+        if (peer.connection)
+            longest = std::max(longest, peer.connection->queuedBytes());
+    }
+    return longest;
+}
+
 void FleetMesh::tick(Instant now)
 {
     for (auto &[endpoint, peer] : m_peers) {
