Bound the quorum's log in memory by bytes, not only by entries

Seen by operators: after some 200 configurations of 865 KB each control host passes its 256 MB, is ended and started again, time after time; changes go unanswered meanwhile.

The gauges of the change before show 136 of 158 MB in the log at 174 entries.

Tests: largeCommandsDoNotAccumulateInMemory failed before (logBytes over 32 MB). catchesUpWhileLargeCommandsContinue fails with a bound by bytes alone: the new member is never promoted.

--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -41,6 +41,10 @@
     std::uint64_t maxAppendBytes = std::uint64_t { 1024 } * 1024;
     std::uint64_t snapshotAfterEntries = 1000;
     std::uint64_t snapshotAfterBytes = std::uint64_t { 8 } * 1024 * 1024; //!< Payload of entries.
+    //! Payload of the entries before a snapshot that stay in memory.
+    std::uint64_t retainedBytes = std::uint64_t { 8 } * 1024 * 1024;
+    //! The same while a member in contact still needs the entries.
+    std::uint64_t maxRetainedBytes = std::uint64_t { 32 } * 1024 * 1024;
     std::uint64_t seed = 0; //!< Seed of the election jitter.
 };
 
--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -74,6 +74,17 @@
     m_proposals.pop_front();
 }
 
+// Returns the first entry that a member in contact still needs, or the one after the applied ones.
+LogIndex Raft::Implementation::firstNeededIndex() const
+{
+    LogIndex held = m_appliedIndex;
+    for (const auto &[member, progress] : m_progress) {
+        if (hasRecentContact(member))
+            held = std::min(held, progress.receivedIndex());
+    }
+    return held + 1;
+}
+
 void Raft::Implementation::takeSnapshot()
 {
     Snapshot snapshot;
@@ -81,7 +92,9 @@
     snapshot.term = m_log.termAt(m_appliedIndex).value_or(0);
     snapshot.members = encodeMembership(m_members.at(m_appliedIndex));
     snapshot.state = m_machine.encode();
-    m_log.compact(std::move(snapshot), m_options.snapshotAfterEntries);
+    m_log.compact(std::move(snapshot),
+                  { m_options.snapshotAfterEntries, m_options.retainedBytes, firstNeededIndex(),
+                    m_options.maxRetainedBytes });
     m_members.compact(m_appliedIndex);
     m_appliedBytes = 0;
 }
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -110,6 +110,7 @@
     void advanceCommit();
     void applyCommitted();
     void apply(const LogEntry &entry);
+    [[nodiscard]] LogIndex firstNeededIndex() const;
     void takeSnapshot();
     void startReadRound();
     void completeReads();
--- a/packages/coordination/ggv/coordination/consensus/raft_log.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_log.cpp
@@ -47,6 +47,14 @@
     return index;
 }
 
+std::uint64_t RaftLog::bytesBetween(LogIndex first, LogIndex last) const
+{
+    std::uint64_t bytes = 0;
+    for (LogIndex index = first; index <= last; ++index)
+        bytes += at(index).payload.size();
+    return bytes;
+}
+
 std::vector<LogEntry> RaftLog::slice(LogIndex from, std::uint64_t maxBytes) const
 {
     std::vector<LogEntry> entries;
@@ -86,12 +94,19 @@
     m_durable = std::min(m_durable, index - 1);
 }
 
-void RaftLog::compact(Snapshot snapshot, std::uint64_t retainedEntries)
+void RaftLog::compact(Snapshot snapshot, const LogRetention &retention)
 {
     m_store.saveSnapshot(snapshot);
     m_snapshot = std::move(snapshot);
-    while (m_baseIndex + retainedEntries < m_snapshot.index)
+    while (m_baseIndex < m_snapshot.index) {
+        const bool isRecent = m_snapshot.index - m_baseIndex <= retention.maxEntries
+            && m_bytes <= retention.maxBytes;
+        const bool isNeeded
+            = m_baseIndex + 1 >= retention.neededFrom && m_bytes <= retention.maxNeededBytes;
+        if (isRecent || isNeeded)
+            return;
         popFront();
+    }
 }
 
 void RaftLog::popFront()
--- a/packages/coordination/ggv/coordination/consensus/raft_log.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_log.hpp
@@ -15,6 +15,15 @@
     Membership = 1, //!< Encoded Membership, in force from this entry on.
 };
 
+//! Which entries before a snapshot stay in memory.
+struct LogRetention
+{
+    std::uint64_t maxEntries = 0;
+    std::uint64_t maxBytes = 0; //!< Payload of these entries.
+    LogIndex neededFrom = 0; //!< First entry that a member in contact still needs.
+    std::uint64_t maxNeededBytes = 0; //!< Payload up to which entries are retained for members.
+};
+
 /**
  * @brief In-memory log of a member with write-through to its store.
  *
@@ -51,6 +60,8 @@
     //! Returns the lowest index, not below lowest, of the consecutive entries that end at index and
     //! have its term.
     [[nodiscard]] LogIndex firstOfTerm(LogIndex index, LogIndex lowest) const;
+    //! Returns the total payload of the entries from one index to another; both are in memory.
+    [[nodiscard]] std::uint64_t bytesBetween(LogIndex first, LogIndex last) const;
 
     /**
      * @brief Copies consecutive entries.
@@ -66,9 +77,9 @@
     /**
      * @brief Saves a snapshot and prunes the entries before it from memory.
      * @param snapshot The snapshot, taken at an index that the log contains.
-     * @param retainedEntries Number of entries before the snapshot that are retained in memory.
+     * @param retention Entries before the snapshot that are retained in memory.
      */
-    void compact(Snapshot snapshot, std::uint64_t retainedEntries);
+    void compact(Snapshot snapshot, const LogRetention &retention);
     //! Installs a snapshot from the leader. Entries after it are retained if the log contains its
     //! last entry.
     void install(const Snapshot &snapshot);
--- a/packages/coordination/ggv/coordination/consensus/replication_progress.cpp
+++ b/packages/coordination/ggv/coordination/consensus/replication_progress.cpp
@@ -28,6 +28,11 @@
     return false;
 }
 
+LogIndex ReplicationProgress::receivedIndex() const noexcept
+{
+    return m_mode == ReplicationMode::Snapshot ? std::max(m_match, m_snapshotIndex) : m_match;
+}
+
 void ReplicationProgress::recordContact(std::uint64_t round, Instant now) noexcept
 {
     m_ackedRound = std::max(m_ackedRound, round);
--- a/packages/coordination/ggv/coordination/consensus/replication_progress.hpp
+++ b/packages/coordination/ggv/coordination/consensus/replication_progress.hpp
@@ -33,6 +33,9 @@
     [[nodiscard]] LogIndex match() const noexcept { return m_match; }
     //! Returns the index of the next entry to send.
     [[nodiscard]] LogIndex next() const noexcept { return m_next; }
+    //! Returns the index up to which the member holds the log, or will once a sent snapshot
+    //! arrives.
+    [[nodiscard]] LogIndex receivedIndex() const noexcept;
     [[nodiscard]] Instant lastContact() const noexcept { return m_lastContact; }
     [[nodiscard]] Instant snapshotSentAt() const noexcept { return m_snapshotSentAt; }
     //! Returns the latest read round that the member has confirmed.
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(leaseExpiresBeforeElectionUnderClockDrift);
     CPPUNIT_TEST(followerRejectsRequests);
     CPPUNIT_TEST(catchesUpAfterHundredsOfChanges);
+    CPPUNIT_TEST(largeCommandsDoNotAccumulateInMemory);
+    CPPUNIT_TEST(catchesUpWhileLargeCommandsContinue);
     CPPUNIT_TEST(replacedMemberAllowsSecondDiskLoss);
     CPPUNIT_TEST(removedLeaderStepsDown);
     CPPUNIT_TEST(lastVoterCannotBeRemoved);
@@ -137,6 +139,47 @@
         }
     }
 
+    // Guards against members that outgrow the 256 MB of their host after many large changes.
+    void largeCommandsDoNotAccumulateInMemory()
+    {
+        constexpr int Commands = 120;
+        constexpr std::size_t CommandBytes = 865'000;
+        constexpr std::uint64_t MaxLogBytes = std::uint64_t { 32 } * 1024 * 1024;
+        Cluster cluster(3, 14);
+        for (int n = 0; n < Commands; ++n) {
+            proposeLargeUntilAccepted(cluster, CommandBytes);
+            for (const MemberId id : ThreeVoters)
+                CPPUNIT_ASSERT(cluster.member(id).raft->status().logBytes <= MaxLogBytes);
+        }
+        cluster.checkOutcome();
+    }
+
+    // Guards against a bound of the log that keeps a new member from catching up: while a snapshot
+    // is on its way, the log outgrows the bound several times.
+    void catchesUpWhileLargeCommandsContinue()
+    {
+        constexpr std::size_t CommandBytes = 64UL * 1024;
+        RaftOptions options;
+        options.snapshotAfterBytes = 4 * CommandBytes;
+        options.retainedBytes = 4 * CommandBytes;
+        options.maxRetainedBytes = 100 * CommandBytes;
+        Cluster cluster(3, 15, options);
+        Member &leader = cluster.waitForLeader();
+        for (int n = 0; n < 50; ++n)
+            proposeLargeUntilAccepted(cluster, CommandBytes);
+        cluster.faults.minDelay = cluster.faults.maxDelay = Milliseconds(100);
+        cluster.addHost(4);
+        const Ticket addition = cluster.changeMember(leader, 4, true);
+        for (int n = 0; n < 250 && !cluster.outcome(addition); ++n) {
+            cluster.propose(leader, Bytes(CommandBytes));
+            cluster.run(Milliseconds(20));
+            CPPUNIT_ASSERT(leader.raft->status().logBytes
+                           <= options.maxRetainedBytes + 20 * CommandBytes);
+        }
+        CPPUNIT_ASSERT(ResultCode::Ok == cluster.outcome(addition));
+        cluster.checkOutcome();
+    }
+
     void replacedMemberAllowsSecondDiskLoss()
     {
         Cluster cluster(3, 7);
@@ -245,6 +288,13 @@
         for (int i = 0; i < count; ++i)
             cluster.proposeUntilAccepted();
     }
+
+    static void proposeLargeUntilAccepted(Cluster &cluster, std::size_t bytes)
+    {
+        const std::size_t before = cluster.accepted();
+        cluster.propose(cluster.waitForLeader(), Bytes(bytes));
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.accepted() > before; }));
+    }
 };
 
 // A single member without a network; the test supplies the messages of the other members.
