--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -100,6 +100,7 @@
     void replicate(bool heartbeat);
     void replicateTo(MemberId member, detail::ReplicationProgress &progress, bool heartbeat);
     void sendEntries(MemberId member, detail::ReplicationProgress &progress);
+    [[nodiscard]] bool isSnapshotSmaller(LogIndex next) const;
     void sendHeartbeat(MemberId member, detail::ReplicationProgress &progress);
     void sendSnapshot(MemberId member, detail::ReplicationProgress &progress);
     void sendAppend(MemberId member, LogIndex previous, std::vector<LogEntry> entries);
--- a/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
@@ -168,24 +168,35 @@
 
 void Raft::Implementation::sendEntries(MemberId member, detail::ReplicationProgress &progress)
 {
-    if (!m_log.termAt(progress.next() - 1)) {
+    const bool isMissing = !m_log.termAt(progress.next() - 1);
+    if (isMissing || (!progress.hasSentSnapshot() && isSnapshotSmaller(progress.next()))) {
         sendSnapshot(member, progress);
         return;
     }
     auto entries = m_log.slice(progress.next(), m_options.maxAppendBytes);
     const LogIndex previous = progress.next() - 1;
-    progress.recordSent(previous + entries.size());
+    const LogIndex last = previous + entries.size();
+    progress.recordSent(last, m_log.bytesBetween(progress.next(), last));
     sendAppend(member, previous, std::move(entries));
 }
 
-// Sends a snapshot again after electionTimeoutMax without a reply. Lost append requests need no
-// timer: the member rejects the heartbeat, and entries are sent again.
+// Returns true if the snapshot has fewer bytes than the entries that it replaces.
+bool Raft::Implementation::isSnapshotSmaller(LogIndex next) const
+{
+    const Snapshot &snapshot = m_log.snapshot();
+    return next <= snapshot.index
+        && m_log.bytesBetween(next, snapshot.index) > snapshot.state.size();
+}
+
+// Sends a snapshot again if the member has answered later messages but not the snapshot. Lost
+// append requests are detected otherwise: the member rejects the heartbeat.
 void Raft::Implementation::sendHeartbeat(MemberId member, detail::ReplicationProgress &progress)
 {
     const bool isSnapshot = progress.mode() == detail::ReplicationMode::Snapshot;
-    const bool isLate = m_now >= progress.snapshotSentAt() + m_options.electionTimeoutMax;
+    const bool isLost = progress.hasAnsweredSinceSnapshot()
+        && m_now >= progress.snapshotSentAt() + m_options.electionTimeoutMax;
     const bool isMissing = !m_log.termAt(progress.next() - 1);
-    if (isSnapshot ? isLate : isMissing)
+    if (isSnapshot ? isLost : isMissing)
         sendSnapshot(member, progress);
     else
         sendAppend(member, isSnapshot ? 0 : progress.next() - 1, {});
@@ -193,7 +204,7 @@
 
 void Raft::Implementation::sendSnapshot(MemberId member, detail::ReplicationProgress &progress)
 {
-    progress.recordSnapshotSent(m_log.snapshot().index, m_now);
+    progress.recordSnapshotSent(m_log.snapshot().index, m_rounds.latest(), m_now);
     send(member, InstallSnapshot { m_hardState.term, m_rounds.latest(), m_log.snapshot() });
 }
 
--- a/packages/coordination/ggv/coordination/consensus/replication_progress.hpp
+++ b/packages/coordination/ggv/coordination/consensus/replication_progress.hpp
@@ -38,6 +38,11 @@
     [[nodiscard]] LogIndex receivedIndex() const noexcept;
     [[nodiscard]] Instant lastContact() const noexcept { return m_lastContact; }
     [[nodiscard]] Instant snapshotSentAt() const noexcept { return m_snapshotSentAt; }
+    //! Returns true if a snapshot was sent since the matching index was last unknown. A second one
+    //! instead of the entries after the first would not bring the member closer to the leader.
+    [[nodiscard]] bool hasSentSnapshot() const noexcept { return m_snapshotSent; }
+    //! Returns true if the member has answered a message that was sent after the snapshot.
+    [[nodiscard]] bool hasAnsweredSinceSnapshot() const noexcept;
     //! Returns the latest read round that the member has confirmed.
     [[nodiscard]] std::uint64_t ackedRound() const noexcept { return m_ackedRound; }
     //! Returns true if entries may be sent now, without waiting for a reply.
@@ -45,24 +50,35 @@
 
     //! Records that the member acknowledged the leader in a read round.
     void recordContact(std::uint64_t round, Instant now) noexcept;
-    //! Records that entries up to last were sent.
-    void recordSent(LogIndex last);
-    //! Records that a snapshot was sent.
-    void recordSnapshotSent(LogIndex index, Instant now) noexcept;
+    //! Records that entries up to last were sent. @param bytes Payload of the entries.
+    void recordSent(LogIndex last, std::uint64_t bytes);
+    //! Records that a snapshot was sent. @param round Read round that it carried.
+    void recordSnapshotSent(LogIndex index, std::uint64_t round, Instant now) noexcept;
     //! Records that the member's log matches up to an index.
     void recordAccepted(LogIndex index);
     //! Records that the member rejected a request. @param hint Index at which its log may match.
     void recordRejected(LogIndex hint);
 
 private:
+    //! An unacknowledged request of the pipeline.
+    struct Request
+    {
+        LogIndex last = 0; //!< Index of its last entry.
+        std::uint64_t bytes = 0; //!< Payload of its entries.
+    };
+
+    void clearInFlight() noexcept;
     void probeFrom(LogIndex next);
 
     ReplicationMode m_mode = ReplicationMode::Probe;
     LogIndex m_match = 0;
     LogIndex m_next;
     bool m_probeSent = false;
-    std::deque<LogIndex> m_inFlight; // Last index of each unacknowledged request of the pipeline.
+    std::deque<Request> m_inFlight;
+    std::uint64_t m_inFlightBytes = 0; // Total of m_inFlight.
     LogIndex m_snapshotIndex = 0;
+    std::uint64_t m_snapshotRound = 0;
+    bool m_snapshotSent = false;
     Instant m_snapshotSentAt;
     Instant m_lastContact;
     std::uint64_t m_ackedRound = 0;
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -359,6 +359,9 @@
     CPPUNIT_TEST(changesMembersOnlyAfterCommitOfItsTerm);
     CPPUNIT_TEST(promotesOnlyLearnersThatHaveCaughtUp);
     CPPUNIT_TEST(revertsTheMembershipOfATruncatedEntry);
+    CPPUNIT_TEST(boundsTheBytesInFlightToAMember);
+    CPPUNIT_TEST(sendsTheSnapshotIfItIsSmallerThanTheEntries);
+    CPPUNIT_TEST(repeatsASnapshotOnlyIfItWasLost);
     CPPUNIT_TEST(syncsOnceForManyProposals);
     CPPUNIT_TEST(failedSyncPreventsOutput);
     CPPUNIT_TEST(rejectsLogWithLaterTermThanHardState);
@@ -376,6 +379,62 @@
         CPPUNIT_ASSERT(single.raft->nextDeadline() > single.now + std::chrono::minutes(1));
     }
 
+    // Guards against a send queue that exceeds its limit: its connection would be closed, and all
+    // that was queued sent again.
+    void boundsTheBytesInFlightToAMember()
+    {
+        constexpr std::uint64_t MaxBytes = std::uint64_t { 2 } * 1024 * 1024;
+        FakeDisk disk;
+        SingleMember single(disk);
+        single.becomeLeader();
+        static_cast<void>(single.receive(2, AppendAnswer { 1, true, 1, 0 }));
+        for (int n = 0; n < 40; ++n)
+            static_cast<void>(single.raft->propose(Bytes(600'000), single.now));
+        std::uint64_t sent = payloadTo(2, single.raft->takeOutput());
+        CPPUNIT_ASSERT(sent > 0 && sent <= MaxBytes);
+        // Each acknowledgement lets the next entries go out.
+        LogIndex acknowledged = 1;
+        while (acknowledged < single.raft->status().lastIndex) {
+            ++acknowledged;
+            const auto output = single.receive(2, AppendAnswer { 1, true, acknowledged, 0 });
+            sent += payloadTo(2, output);
+            CPPUNIT_ASSERT(sent <= (acknowledged - 1) * 600'000 + MaxBytes);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 40 } * 600'000, sent);
+    }
+
+    // Guards against a member that lost its disk and gets every retained change instead of one
+    // state.
+    void sendsTheSnapshotIfItIsSmallerThanTheEntries()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        leadWithSnapshot(single);
+        const auto output = single.receive(3, AppendAnswer { 1, true, 1, 0 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, snapshotsTo(3, output));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, payloadTo(3, output));
+    }
+
+    // Guards against a slow link that carries the same snapshot again and again.
+    void repeatsASnapshotOnlyIfItWasLost()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        leadWithSnapshot(single);
+        static_cast<void>(single.receive(3, AppendAnswer { 1, true, 1, 0 }));
+        const auto heartbeat = [&single] {
+            single.now += std::chrono::seconds(3);
+            static_cast<void>(single.receive(2, AppendAnswer { 1, true, 2, 0 }));
+            single.raft->tick(single.now);
+            return single.raft->takeOutput();
+        };
+        const auto silent = heartbeat();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, snapshotsTo(3, silent));
+        const auto round = std::get<AppendRequest>(silent.messages.back().body).readRound;
+        static_cast<void>(single.receive(3, AppendAnswer { 1, true, 0, round }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, snapshotsTo(3, heartbeat()));
+    }
+
     // Holds also right after a start, because the member may have acknowledged a leader before it.
     void grantsNoVoteWhileALeaderMayHoldItsLease()
     {
@@ -572,6 +631,46 @@
     }
 
 private:
+    static std::uint64_t payloadTo(MemberId member, const RaftOutput &output)
+    {
+        std::uint64_t bytes = 0;
+        for (const RaftMessage &it : output.messages) {
+            const auto *request = std::get_if<AppendRequest>(&it.body);
+            if (it.to != member || request == nullptr)
+                continue;
+            for (const LogEntry &entry : request->entries)
+                bytes += entry.payload.size();
+        }
+        return bytes;
+    }
+
+    static std::size_t snapshotsTo(MemberId member, const RaftOutput &output)
+    {
+        const auto &messages = output.messages;
+        return static_cast<std::size_t>(
+            std::count_if(messages.begin(), messages.end(), [member](const RaftMessage &it) {
+                return it.to == member && std::holds_alternative<InstallSnapshot>(it.body);
+            }));
+    }
+
+    // Makes the member leader of entries larger than its snapshot, some of them retained; member 3
+    // has answered nothing.
+    static void leadWithSnapshot(SingleMember &single)
+    {
+        constexpr LogIndex Commands = 20;
+        single.becomeLeader();
+        for (LogIndex index = 1; index <= Commands; ++index) {
+            static_cast<void>(single.receive(2, AppendAnswer { 1, true, index, 0 }));
+            Bytes command = encodeNumber(index);
+            command.resize(500'000);
+            static_cast<void>(single.raft->propose(std::move(command), single.now));
+            static_cast<void>(single.raft->takeOutput());
+        }
+        static_cast<void>(single.receive(2, AppendAnswer { 1, true, Commands + 1, 0 }));
+        CPPUNIT_ASSERT(single.raft->status().snapshotIndex > 0);
+        CPPUNIT_ASSERT(single.raft->status().logEntries == Commands + 1);
+    }
+
     static bool granted(const RaftOutput &output)
     {
         return output.messages.size() == 1
