Check before each attempt whether a request outlasts a shutdown

Report of other operators (LOST): in a planned stop, requests were passed on late and cut at the end of the grace.

Cause here: the check of the deadline against the end of the process ran once, when the head was read. A request whose body ended during the shutdown, or that was sent again during it, was sent to a target and cut at the end.

Now it is checked before each attempt and after connecting. A request that has not run is refused with 503, one that may have run is not sent again.

--- a/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.cpp
@@ -72,6 +72,9 @@
 
 Duration GatewayRequest::remainingTime() const { return m_deadline - monotonicNow(); }
 
+// True if the process may end before the request's deadline.
+bool GatewayRequest::outlastsProcess() const { return m_deadline > m_context.shutdownDeadline(); }
+
 bool GatewayRequest::hasTimeForAttempt() const { return remainingTime() >= MinAttemptTime; }
 
 asio::awaitable<void> GatewayRequest::run()
@@ -100,7 +103,7 @@
         co_await rejectUnknownRoute();
         co_return;
     }
-    if (m_deadline > m_context.shutdownDeadline()) {
+    if (outlastsProcess()) {
         co_await reject(StatusUnavailable, HostLeaving);
         co_return;
     }
@@ -240,7 +243,7 @@
     // A second answer would reach the caller as a part of the first one's body.
     if (m_caller.answerStarted())
         return false;
-    if (*m_callerDisconnected || !hasTimeForAttempt() || remainingQuarantine())
+    if (*m_callerDisconnected || !hasTimeForAttempt() || outlastsProcess() || remainingQuarantine())
         return false;
     switch (end) {
     case AttemptResult::NotConnected:
@@ -290,6 +293,9 @@
         co_return AttemptResult::CallerDisconnected;
     if (!hasTimeForAttempt())
         co_return m_mayHaveExecuted ? AttemptResult::DeadlinePassed : AttemptResult::NotExecuted;
+    // The shutdown may have begun while the body was received or another attempt was made.
+    if (outlastsProcess())
+        co_return AttemptResult::NotExecuted;
     if (m_avoidsTargets || m_context.isCutOff())
         co_return co_await attemptAtPeer();
     m_peers.leave();
@@ -303,8 +309,10 @@
         co_return onConnectFailed(*failure);
     if (!m_exchange->reused())
         m_context.observeTargetConnection();
-    // The target may have said that it is leaving or busy while the connection was established.
-    if (!m_context.targets().mayReceive(*m_choice.target, monotonicNow())) {
+    // The target may have said that it is leaving or busy while the connection was established, or
+    // the shutdown may have begun.
+    const bool mayReceive = m_context.targets().mayReceive(*m_choice.target, monotonicNow());
+    if (!mayReceive || outlastsProcess()) {
         finishAttempt(std::nullopt, false);
         co_return AttemptResult::NotConnected;
     }
--- a/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request.hpp
@@ -55,6 +55,7 @@
     [[nodiscard]] bool selectRoute();
     [[nodiscard]] Duration remainingTime() const;
     [[nodiscard]] bool hasTimeForAttempt() const;
+    [[nodiscard]] bool outlastsProcess() const;
     [[nodiscard]] boost::asio::awaitable<bool> receiveBody();
     [[nodiscard]] boost::asio::awaitable<bool> bufferBody();
     [[nodiscard]] boost::asio::awaitable<void> forward();
--- a/packages/coordination/ggv/coordination/gateway/gateway_request_completion.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway_request_completion.cpp
@@ -78,6 +78,8 @@
 
 const char *GatewayRequest::rejectionReason() const
 {
+    if (outlastsProcess())
+        return HostLeaving;
     if (!m_peers.lastPeer().empty())
         return PeersUnavailable;
     if (m_notExecutedCount > 0)
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -11,6 +11,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -196,6 +197,38 @@
                           [this, kind] { m_context.setRoutes(makeRoutes(kind, 2)); });
     }
 
+    // Sends a request without the last bytes of its body, and waits until its head has been
+    // handled.
+    RawSocket sendIncomplete(const std::string &remainingTime, const std::string &bodyPart)
+    {
+        auto socket = RawSocket::connect(m_callers, m_server->port());
+        socket.send("POST /a/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nCookie: Object=7\r\nTime-Left: "
+                    + remainingTime + "\r\nContent-Length: 4\r\nConnection: close\r\n\r\n"
+                    + bodyPart);
+        while (m_server->activeRequests() == 0)
+            std::this_thread::yield();
+        // The handler runs until it waits for the rest of the body.
+        runOnLoop([] {});
+        return socket;
+    }
+
+    // Begins a shutdown while the gateway runs.
+    void beginShutdown(Duration time)
+    {
+        runOnLoop([this, time] { shutDownAfter(time); });
+    }
+
+    template <typename Function>
+    void runOnLoop(Function function)
+    {
+        std::promise<void> done;
+        boost::asio::post(m_pool.context(0), [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+
     void shutDownAfter(Duration time) { m_context.setShutdownDeadline(monotonicNow() + time); }
 
     std::vector<TargetStateReport> targetStateReports()
--- a/packages/coordination/test/gateway/gateway_request_test.cpp
+++ b/packages/coordination/test/gateway/gateway_request_test.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST(unknownPathsAndMissingRoutesAreRejected);
     CPPUNIT_TEST(requestWaitsForFirstRoutes);
     CPPUNIT_TEST(shutdownRejectsRequestsWithLaterDeadline);
+    CPPUNIT_TEST(bodyThatEndsDuringShutdownIsNotForwarded);
+    CPPUNIT_TEST(requestIsNotSentAgainDuringShutdown);
     CPPUNIT_TEST(leavingTargetGetsNoFurtherRequest);
     CPPUNIT_TEST(rejectingTargetGetsNoRequestForTheStatedTime);
     CPPUNIT_TEST(invalidRetryAfterIsIgnored);
@@ -247,6 +249,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("200"), fixture.call("500").substr(9, 3));
     }
 
+    // Guards against a request that is sent to a target and cut when the process ends: its head
+    // arrived before the shutdown began, its body after it.
+    void bodyThatEndsDuringShutdownIsNotForwarded()
+    {
+        GatewayFixture fixture;
+        fixture.addTarget(success);
+        fixture.start(RouteKind::NonIdempotent, 2);
+        auto socket = fixture.sendIncomplete("2500", "bo");
+        fixture.beginShutdown(milliseconds(1500));
+        socket.send("dy");
+        const auto rejection = socket.readToEnd();
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), rejection.substr(9, 3));
+        CPPUNIT_ASSERT(rejection.find("Retry-After: 0.0") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, fixture.receivedRequests());
+    }
+
+    // Guards against the same for a request that was waiting to be sent again.
+    void requestIsNotSentAgainDuringShutdown()
+    {
+        for (const auto &first : { &serverError, &notExecuted }) {
+            GatewayFixture fixture;
+            fixture.addTarget([&fixture, first](const std::string &request) {
+                fixture.shutDownAfter(milliseconds(1500));
+                return first(request);
+            });
+            fixture.addTarget(success);
+            fixture.start(RouteKind::Idempotent, 2);
+            const std::string expected = first == &serverError ? "500" : "503";
+            CPPUNIT_ASSERT_EQUAL(expected, fixture.call("2500").substr(9, 3));
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, fixture.receivedRequests());
+        }
+    }
+
     void leavingTargetGetsNoFurtherRequest()
     {
         GatewayFixture fixture;
