--- a/packages/coordination/test/quorum/quorum_test.cpp
+++ b/packages/coordination/test/quorum/quorum_test.cpp
@@ -4,7 +4,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <cstring>
 #include <optional>
+#include <set>
+#include <vector>
+
+#include <boost/asio/post.hpp>
 
 namespace {
 
@@ -129,4 +135,179 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuorumTest);
 
+//! Members of one quorum on one event loop; each has a disk of its own.
+class QuorumGroup
+{
+public:
+    explicit QuorumGroup(std::size_t size)
+        : m_hosts(size)
+    {
+        std::vector<ggv::MemberId> voters;
+        for (ggv::MemberId id = 1; id <= size; ++id)
+            voters.push_back(id);
+        for (const ggv::MemberId id : voters)
+            start(id, voters);
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_hosts.size(); }
+    //! Returns the number of the leader; size() without one.
+    [[nodiscard]] std::size_t leader() const
+    {
+        const auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [](const Host &host) {
+            return host.quorum->hasLeaderLease();
+        });
+        return static_cast<std::size_t>(it - m_hosts.begin());
+    }
+    [[nodiscard]] FakeDisk &disk(std::size_t number) { return m_hosts[number].disk; }
+    [[nodiscard]] bool isSuspended(std::size_t number) const
+    {
+        return m_hosts[number].quorum->isSuspended();
+    }
+    [[nodiscard]] std::size_t accepted() const noexcept { return m_accepted.size(); }
+
+    // Proposes commands at whichever member leads, each after the one before completed.
+    void proposeFor(milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            if (!m_isPending)
+                propose();
+            m_loop.run_for(milliseconds(2));
+        }
+    }
+
+    template <typename Condition>
+    [[nodiscard]] bool runUntil(Condition condition, seconds timeout)
+    {
+        const auto end = std::chrono::steady_clock::now() + timeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            proposeFor(milliseconds(2));
+        return condition();
+    }
+
+    // True if every member has applied each accepted command once.
+    [[nodiscard]] bool hasAppliedAll() const
+    {
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [this](const Host &host) {
+            const auto applied = commandsOf(host.machine.encode());
+            return std::all_of(m_accepted.begin(), m_accepted.end(),
+                               [&](std::uint32_t it) { return applied.count(it) == 1; });
+        });
+    }
+
+private:
+    struct Host
+    {
+        FakeDisk disk;
+        JournalMachine machine;
+        std::unique_ptr<Quorum> quorum;
+    };
+
+    void start(ggv::MemberId id, const std::vector<ggv::MemberId> &voters)
+    {
+        ggv::QuorumSetup setup { "test", "test-", id, voters, {} };
+        setup.options.electionTimeoutMin = milliseconds(50);
+        setup.options.electionTimeoutMax = milliseconds(100);
+        setup.options.heartbeatInterval = milliseconds(10);
+        setup.options.snapshotAfterEntries = 4;
+        setup.options.seed = id;
+        Host &host = m_hosts[id - 1];
+        host.quorum = Quorum::start(m_loop, host.disk, std::move(setup), host.machine,
+                                    [this](ggv::RaftMessage message) {
+                                        boost::asio::post(m_loop, [this, message] {
+                                            m_hosts[message.to - 1].quorum->receive(message);
+                                        });
+                                    })
+                          .value();
+    }
+
+    static std::multiset<std::uint32_t> commandsOf(const Bytes &content)
+    {
+        std::multiset<std::uint32_t> commands;
+        for (std::size_t at = 0; at + sizeof(std::uint32_t) <= content.size();
+             at += sizeof(std::uint32_t)) {
+            std::uint32_t command = 0;
+            std::memcpy(&command, content.data() + at, sizeof command);
+            commands.insert(command);
+        }
+        return commands;
+    }
+
+    void propose()
+    {
+        const std::size_t number = leader();
+        if (number == size())
+            return;
+        const std::uint32_t command = ++m_lastCommand;
+        Bytes bytes(sizeof command);
+        std::memcpy(bytes.data(), &command, sizeof command);
+        m_isPending = true;
+        m_hosts[number].quorum->propose(std::move(bytes), [this, command](const Completion &it) {
+            m_isPending = false;
+            if (it.code == ResultCode::Ok)
+                m_accepted.push_back(command);
+        });
+    }
+
+    boost::asio::io_context m_loop;
+    std::vector<Host> m_hosts;
+    std::vector<std::uint32_t> m_accepted;
+    std::uint32_t m_lastCommand = 0;
+    bool m_isPending = false;
+};
+
+class QuorumFullDisksTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QuorumFullDisksTest);
+    CPPUNIT_TEST(changesGoOnAfterDisksWereFullInTurn);
+    CPPUNIT_TEST(changesGoOnAfterTheLeadersDiskWasFullAgainAndAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a quorum that accepts no change although every disk has room again. Snapshots
+    // are taken after each few commands, so that they also meet full disks.
+    void changesGoOnAfterDisksWereFullInTurn()
+    {
+        QuorumGroup group(5);
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.accepted() > 20; }, Limit));
+        for (std::size_t number = 0; number < group.size(); ++number)
+            fillForAWhile(group, number);
+        checkOutcome(group);
+    }
+
+    void changesGoOnAfterTheLeadersDiskWasFullAgainAndAgain()
+    {
+        QuorumGroup group(5);
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.accepted() > 20; }, Limit));
+        for (int round = 0; round < 5; ++round)
+            fillForAWhile(group, group.leader());
+        checkOutcome(group);
+    }
+
+private:
+    //! Recovery time that the operators expect of the whole system: many times that of the test's
+    //! election timeout.
+    static constexpr seconds Limit { 4 };
+
+    static void fillForAWhile(QuorumGroup &group, std::size_t number)
+    {
+        group.disk(number).setFull(true);
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.isSuspended(number); }, Limit));
+        const std::size_t before = group.accepted();
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.accepted() > before + 20; }, Limit));
+        group.disk(number).setFull(false);
+        CPPUNIT_ASSERT(group.runUntil([&] { return !group.isSuspended(number); }, Limit));
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.leader() < group.size(); }, Limit));
+    }
+
+    static void checkOutcome(QuorumGroup &group)
+    {
+        const std::size_t before = group.accepted();
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.accepted() > before + 100; }, Limit));
+        CPPUNIT_ASSERT(group.runUntil([&] { return group.hasAppliedAll(); }, Limit));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuorumFullDisksTest);
+
 } // namespace
