Count a long message on its way as contact between quorum members

Cause: heartbeats wait behind the configuration on the same connection.

Now a follower that receives bytes of its leader's message starts no election and grants no vote, and a leader whose bytes are taken stays leader, for 5 s after the last complete message at most. The lease still relies on replies alone.

Tests, both failed before: followerWaitsWhileALongMessageArrives, leaderStaysWhileALongMessageIsSent.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -245,6 +245,11 @@
     m_implementation->receive(message, now);
 }
 
+void Raft::observeTransfer(MemberId member, Instant now)
+{
+    m_implementation->observeTransfer(member, now);
+}
+
 void Raft::tick(Instant now) { m_implementation->tick(now); }
 
 Ticket Raft::propose(Bytes command, Instant now)
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -37,6 +37,8 @@
     Duration electionTimeoutMin
         = std::chrono::milliseconds(1000); //!< Also the duration of the leader lease.
     Duration electionTimeoutMax = std::chrono::milliseconds(2000);
+    //! Time since the last complete message up to which a transfer counts as contact.
+    Duration maxTransferTime = std::chrono::seconds(5);
     std::uint32_t maxClockDriftPercent = 5; //!< Maximum clock drift; shortens the leader lease.
     std::uint64_t maxAppendBytes = std::uint64_t { 1024 } * 1024;
     std::uint64_t snapshotAfterEntries = 1000;
@@ -123,6 +125,9 @@
 
     //! Handles a message from another member. Messages addressed to other members are ignored.
     void receive(const RaftMessage &message, Instant now);
+    //! Records that a message from or to a member is on its way and its bytes keep moving. A long
+    //! message delays the heartbeats behind it; this is no silence.
+    void observeTransfer(MemberId member, Instant now);
     //! Advances timers: starts elections, schedules heartbeats and runs check-quorum.
     void tick(Instant now);
     //! Proposes a command. @return Ticket of its completion.
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -59,7 +59,21 @@
 
 bool Raft::Implementation::hasRecentLeaderContact() const noexcept
 {
-    return isLeader() || m_now < m_leaderContact + m_options.electionTimeoutMin;
+    const Instant contact = std::max(m_leaderContact, m_leaderTransfer);
+    return isLeader() || m_now < contact + m_options.electionTimeoutMin;
+}
+
+void Raft::Implementation::observeTransfer(MemberId member, Instant now)
+{
+    advanceClock(now);
+    if (isLeader()) {
+        const auto it = m_progress.find(member);
+        if (it != m_progress.end())
+            it->second.recordTransfer(m_now);
+    } else if (member == m_leader && m_now < m_leaderContact + m_options.maxTransferTime) {
+        m_leaderTransfer = m_now;
+        resetElectionTimer();
+    }
 }
 
 void Raft::Implementation::handle(MemberId from, const VoteAnswer &answer)
@@ -198,8 +212,13 @@
     if (member == m_self)
         return true;
     const auto it = m_progress.find(member);
+    if (it == m_progress.end())
+        return false;
+    const detail::ReplicationProgress &progress = it->second;
     const Instant limit = m_now - m_options.electionTimeoutMin;
-    return it != m_progress.end() && it->second.lastContact() > limit;
+    const bool isInTransfer = progress.lastTransfer() > limit
+        && m_now < progress.lastContact() + m_options.maxTransferTime;
+    return progress.lastContact() > limit || isInTransfer;
 }
 
 bool Raft::Implementation::hasRecentContactWithMajority(const Membership &membership) const
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -28,6 +28,7 @@
                    Membership membership, LogStore &store, StateMachine &machine, Instant now);
 
     void receive(const RaftMessage &message, Instant now);
+    void observeTransfer(MemberId member, Instant now);
     void tick(Instant now);
     Ticket propose(Bytes command, Instant now);
     Ticket confirmRead(Instant now);
@@ -150,6 +151,8 @@
     Instant m_now;
     Instant m_leaderContact; // Last leader contact; no votes are granted for electionTimeoutMin
                              // after it.
+    Instant m_leaderTransfer
+        = Instant::min(); // Last time at which a message of the leader was arriving.
     Instant m_electionDeadline;
     std::mt19937_64 m_random;
 
--- a/packages/coordination/ggv/coordination/consensus/replication_progress.hpp
+++ b/packages/coordination/ggv/coordination/consensus/replication_progress.hpp
@@ -37,6 +37,8 @@
     //! arrives.
     [[nodiscard]] LogIndex receivedIndex() const noexcept;
     [[nodiscard]] Instant lastContact() const noexcept { return m_lastContact; }
+    //! Returns the last time at which a message to the member was on its way.
+    [[nodiscard]] Instant lastTransfer() const noexcept { return m_lastTransfer; }
     [[nodiscard]] Instant snapshotSentAt() const noexcept { return m_snapshotSentAt; }
     //! Returns true if a snapshot was sent since the matching index was last unknown. A second one
     //! instead of the entries after the first would not bring the member closer to the leader.
@@ -50,6 +52,8 @@
 
     //! Records that the member acknowledged the leader in a read round.
     void recordContact(std::uint64_t round, Instant now) noexcept;
+    //! Records that a message to the member is on its way.
+    void recordTransfer(Instant now) noexcept { m_lastTransfer = now; }
     //! Records that entries up to last were sent. @param bytes Payload of the entries.
     void recordSent(LogIndex last, std::uint64_t bytes);
     //! Records that a snapshot was sent. @param round Read round that it carried.
@@ -81,6 +85,7 @@
     bool m_snapshotSent = false;
     Instant m_snapshotSentAt;
     Instant m_lastContact;
+    Instant m_lastTransfer = Instant::min();
     std::uint64_t m_ackedRound = 0;
 };
 
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -126,6 +126,7 @@
     {
         const Instant now = monotonicNow();
         observeSelf();
+        observeTransfers();
         m_mesh.setPeers(peers(now));
         m_mesh.tick(now);
         if (now - m_hostObservationsSentAt >= HostObservationInterval) {
@@ -150,6 +151,25 @@
         (void)m_directory.observe({ m_setup.self, Duration(0) }, monotonicNow());
     }
 
+    // Heartbeats wait behind a large configuration or snapshot on the same connection.
+    void observeTransfers()
+    {
+        for (const auto &[id, session] : m_sessions) {
+            if (session.report && session.connection->isReceivingFrame())
+                m_quorum->observeTransfer(session.report->host.member);
+        }
+        const auto status = m_quorum->status();
+        if (status.role != RaftRole::Leader)
+            return;
+        for (const auto &members : { status.voters, status.learners }) {
+            for (const MemberId member : members) {
+                const auto endpoint = endpointOf(member);
+                if (endpoint && m_mesh.isSending(*endpoint))
+                    m_quorum->observeTransfer(member);
+            }
+        }
+    }
+
     std::set<Endpoint> peers(Instant now) const
     {
         std::set<Endpoint> endpoints(m_setup.seeds.begin(), m_setup.seeds.end());
--- a/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_mesh.cpp
@@ -66,6 +66,12 @@
     return endpoints;
 }
 
+bool FleetMesh::isSending(const Endpoint &peer) const noexcept
+{
+    const auto it = m_peers.find(peer);
+    return it != m_peers.end() && it->second.connection && it->second.connection->isSendingFrame();
+}
+
 std::size_t FleetMesh::maxQueuedBytes() const noexcept
 {
     std::size_t longest = 0;
--- a/packages/coordination/ggv/coordination/fleet/fleet_mesh.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_mesh.hpp
@@ -37,6 +37,8 @@
     void send(const Endpoint &peer, const FleetMessage &message);
     //! @return Addresses of the connected peers.
     [[nodiscard]] std::vector<Endpoint> connected() const;
+    //! @return True while a message to the peer is being sent and its bytes keep moving.
+    [[nodiscard]] bool isSending(const Endpoint &peer) const noexcept;
     //! @return Length of the longest send queue, in bytes.
     [[nodiscard]] std::size_t maxQueuedBytes() const noexcept;
     //! Opens missing connections. Must be called periodically.
--- a/packages/coordination/ggv/coordination/quorum/quorum.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -258,6 +258,11 @@
     m_implementation->scheduleFlush();
 }
 
+void Quorum::observeTransfer(MemberId member)
+{
+    m_implementation->call([member](Raft &raft) { raft.observeTransfer(member, monotonicNow()); });
+}
+
 void Quorum::propose(Bytes command, CompletionHandler onDone)
 {
     m_implementation->start(
--- a/packages/coordination/ggv/coordination/quorum/quorum.hpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.hpp
@@ -54,6 +54,8 @@
 
     //! Handles a message from another member.
     void receive(const RaftMessage &message);
+    //! Records that a message from or to a member is on its way, see Raft::observeTransfer().
+    void observeTransfer(MemberId member);
     //! Proposes a command. The handler runs on the event loop.
     void propose(Bytes command, CompletionHandler onDone);
     //! Confirms that this member is the leader and has applied every change accepted before this
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -362,6 +362,8 @@
     CPPUNIT_TEST(boundsTheBytesInFlightToAMember);
     CPPUNIT_TEST(sendsTheSnapshotIfItIsSmallerThanTheEntries);
     CPPUNIT_TEST(repeatsASnapshotOnlyIfItWasLost);
+    CPPUNIT_TEST(followerWaitsWhileALongMessageArrives);
+    CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
     CPPUNIT_TEST(syncsOnceForManyProposals);
     CPPUNIT_TEST(failedSyncPreventsOutput);
     CPPUNIT_TEST(rejectsLogWithLaterTermThanHardState);
@@ -435,6 +437,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, snapshotsTo(3, heartbeat()));
     }
 
+    // Guards against elections without end: a configuration that takes longer than the election
+    // timeout on a link would never be acknowledged.
+    void followerWaitsWhileALongMessageArrives()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        single.now += std::chrono::seconds(3);
+        static_cast<void>(single.receive(2, AppendRequest { 1, 0, 0, 0, 1, {} }));
+        transferFor(single, std::chrono::seconds(3));
+        CPPUNIT_ASSERT(RaftRole::Follower == single.raft->status().role);
+        CPPUNIT_ASSERT(single.receive(3, VoteRequest { 2, 9, 9, false }).messages.empty());
+        // A link that only trickles does not prevent an election for good.
+        transferFor(single, std::chrono::seconds(5));
+        CPPUNIT_ASSERT(RaftRole::Candidate == single.raft->status().role);
+    }
+
+    void leaderStaysWhileALongMessageIsSent()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        single.becomeLeader();
+        static_cast<void>(single.receive(2, AppendAnswer { 1, true, 1, 0 }));
+        transferFor(single, std::chrono::seconds(3));
+        CPPUNIT_ASSERT(RaftRole::Leader == single.raft->status().role);
+        // The lease relies on replies alone.
+        CPPUNIT_ASSERT(!single.raft->hasLeaderLease(single.now));
+        transferFor(single, std::chrono::seconds(3));
+        CPPUNIT_ASSERT(RaftRole::Leader != single.raft->status().role);
+    }
+
     // Holds also right after a start, because the member may have acknowledged a leader before it.
     void grantsNoVoteWhileALeaderMayHoldItsLease()
     {
@@ -653,6 +685,17 @@
             }));
     }
 
+    // Lets time pass while a message from or to member 2 is on its way.
+    static void transferFor(SingleMember &single, Milliseconds time)
+    {
+        for (const Instant end = single.now + time; single.now < end;) {
+            single.now += Milliseconds(100);
+            single.raft->observeTransfer(2, single.now);
+            single.raft->tick(single.now);
+        }
+        static_cast<void>(single.raft->takeOutput());
+    }
+
     // Makes the member leader of entries larger than its snapshot, some of them retained; member 3
     // has answered nothing.
     static void leadWithSnapshot(SingleMember &single)
--- a/packages/transport/ggv/transport/net/frame_connection.cpp
+++ b/packages/transport/ggv/transport/net/frame_connection.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-//! Longest pause between two parts of a frame that is still being received.
-constexpr Duration MaxReceivePause = std::chrono::milliseconds(300);
+//! Longest pause between two parts of a frame that is still being received or sent.
+constexpr Duration MaxTransferPause = std::chrono::milliseconds(300);
 
 class TcpFrameConnection : public FrameConnection
 {
@@ -73,7 +73,12 @@
 
     bool isReceivingFrame() const noexcept override
     {
-        return m_receivingPayload && monotonicNow() - m_lastReceived < MaxReceivePause;
+        return m_receivingPayload && monotonicNow() - m_lastReceived < MaxTransferPause;
+    }
+
+    bool isSendingFrame() const noexcept override
+    {
+        return m_writing && monotonicNow() - m_lastSent < MaxTransferPause;
     }
 
 private:
@@ -156,10 +161,24 @@
     void writeNext()
     {
         m_writing = true;
-        asio::async_write(m_socket, asio::buffer(m_queue.front()),
-                          [self = self()](boost::system::error_code ec, std::size_t n) {
-                              self->onWritten(ec, n);
-                          });
+        asio::async_write(
+            m_socket, asio::buffer(m_queue.front()),
+            [self = self()](boost::system::error_code ec, std::size_t n) {
+                return self->onPartWritten(ec, n);
+            },
+            [self = self()](boost::system::error_code ec, std::size_t n) {
+                self->onWritten(ec, n);
+            });
+    }
+
+    // Returns the number of bytes still to be written.
+    std::size_t onPartWritten(boost::system::error_code ec, std::size_t written)
+    {
+        if (ec)
+            return 0;
+        if (written > 0)
+            m_lastSent = monotonicNow();
+        return m_queue.front().size() - written;
     }
 
     void onWritten(boost::system::error_code ec, std::size_t n)
--- a/packages/transport/ggv/transport/net/frame_connection.hpp
+++ b/packages/transport/ggv/transport/net/frame_connection.hpp
@@ -46,6 +46,8 @@
     virtual void close() = 0;
     //! @return True while a frame has arrived partly and the rest keeps arriving.
     [[nodiscard]] virtual bool isReceivingFrame() const noexcept = 0;
+    //! @return True while a frame has been sent partly and the rest keeps being sent.
+    [[nodiscard]] virtual bool isSendingFrame() const noexcept = 0;
     //! @return Number of bytes that wait to be sent, including the frame being sent.
     [[nodiscard]] virtual std::size_t queuedBytes() const noexcept = 0;
     //! @return Total number of bytes sent, including frame headers.
