Present a follower's state as current only once it has caught up

Seen by callers: requests reach an evacuated failure domain and old routes up to 20 s after the acknowledgement, from entry hosts that were just started.

Cause: a control host that follows a leader marked its state as current however far it was behind; an entry host without a state of its own takes it.

Now a follower has to have applied, within the last second, everything that its present leader reported as committed.

Test, failed before: followerIsCaughtUpOnceItHasAppliedWhatIsCommitted.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -113,6 +113,8 @@
         m_output.leadershipChanged = true;
     if (leader != 0)
         m_hasYielded = false;
+    if (m_leader != leader)
+        m_leaderCommit.reset();
     m_leader = leader;
 }
 
@@ -215,6 +217,7 @@
     status.snapshotBytes = m_log.snapshot().state.size();
     status.voters = members().voters;
     status.learners = members().learners;
+    status.caughtUpAt = m_caughtUpAt;
     return status;
 }
 
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -79,6 +79,8 @@
     std::uint64_t snapshotBytes = 0; //!< State of the latest snapshot.
     std::vector<MemberId> voters;
     std::vector<MemberId> learners;
+    //! Last time at which a follower had applied every entry that its leader reported as committed.
+    Instant caughtUpAt = Instant::min();
 };
 
 //! Messages to send and completions to deliver after a call.
--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -55,6 +55,8 @@
         apply(m_log.at(m_appliedIndex + 1));
         ++m_appliedIndex;
     }
+    if (m_leaderCommit && m_appliedIndex >= *m_leaderCommit)
+        m_caughtUpAt = m_now;
     completeMemberChanges();
     if (m_appliedIndex - m_log.snapshot().index >= m_options.snapshotAfterEntries
         || m_appliedBytes >= m_options.snapshotAfterBytes)
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -153,6 +153,8 @@
                              // after it.
     Instant m_leaderTransfer
         = Instant::min(); // Last time at which a message of the leader was arriving.
+    std::optional<LogIndex> m_leaderCommit; // Commit index that the present leader has reported.
+    Instant m_caughtUpAt = Instant::min();
     Instant m_electionDeadline;
     std::mt19937_64 m_random;
 
--- a/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
@@ -66,6 +66,7 @@
 {
     if (!isWellFormed(request) || !acceptLeader(from, request.term))
         return;
+    m_leaderCommit = std::max(m_leaderCommit.value_or(0), request.commitIndex);
     if (const auto hint = findConflict(request)) {
         answerAppend(from, false, *hint, request.readRound);
         return;
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -32,6 +32,8 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+//! A follower whose state may be older than this does not tell it to entry hosts as current.
+constexpr Duration MaxStateLag = std::chrono::seconds(1);
 constexpr Duration HostObservationInterval = std::chrono::milliseconds(400);
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(80);
 constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(300);
@@ -398,7 +400,8 @@
         const auto status = m_quorum->status();
         if (status.role == RaftRole::Leader)
             return m_quorum->hasLeaderLease();
-        return status.leader != 0;
+        // An entry host that was just started would act by an old state.
+        return status.leader != 0 && monotonicNow() - status.caughtUpAt <= MaxStateLag;
     }
 
     void sendFeed(Session &session)
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -362,6 +362,7 @@
     CPPUNIT_TEST(boundsTheBytesInFlightToAMember);
     CPPUNIT_TEST(sendsTheSnapshotIfItIsSmallerThanTheEntries);
     CPPUNIT_TEST(repeatsASnapshotOnlyIfItWasLost);
+    CPPUNIT_TEST(followerIsCaughtUpOnceItHasAppliedWhatIsCommitted);
     CPPUNIT_TEST(followerWaitsWhileALongMessageArrives);
     CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
     CPPUNIT_TEST(syncsOnceForManyProposals);
@@ -437,6 +438,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, snapshotsTo(3, heartbeat()));
     }
 
+    // Guards against a follower that presents an old state as current while it catches up.
+    void followerIsCaughtUpOnceItHasAppliedWhatIsCommitted()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        const auto caughtUpAt = [&single] { return single.raft->status().caughtUpAt; };
+        const Snapshot snapshot { 5, 1, encodeMembership({ ThreeVoters, {} }), encodeNumber(1) };
+        static_cast<void>(single.receive(2, InstallSnapshot { 1, 1, snapshot }));
+        CPPUNIT_ASSERT(caughtUpAt() == Instant::min());
+        const LogEntry sixth { 6, 1, 0, encodeNumber(2) };
+        const LogEntry seventh { 7, 1, 0, encodeNumber(3) };
+        static_cast<void>(single.receive(2, AppendRequest { 1, 5, 1, 7, 2, { sixth } }));
+        CPPUNIT_ASSERT(caughtUpAt() == Instant::min());
+        static_cast<void>(single.receive(2, AppendRequest { 1, 6, 1, 7, 3, { seventh } }));
+        CPPUNIT_ASSERT(caughtUpAt() == single.now);
+        // The next leader may know of later entries.
+        single.now += std::chrono::seconds(2);
+        static_cast<void>(single.receive(3, InstallSnapshot { 2, 1, snapshot }));
+        CPPUNIT_ASSERT(caughtUpAt() < single.now);
+    }
+
     // Guards against elections without end: a configuration that takes longer than the election
     // timeout on a link would never be acknowledged.
     void followerWaitsWhileALongMessageArrives()
