Remove lost members before the operators allow the next loss

Now 3 s, 1 s for a new leader; a member that the leader hears isn't removed; a relayed sight of an unchanged host counts only if it is later by 250 ms; a pause of the leader's process starts its time anew.

Tests, all failed before: replacedMembersAreRemovedBeforeTheNextLossCounts, memberInContactIsNotRemoved, exchangesDoNotMoveTheLastSightOn.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -218,6 +218,13 @@
     status.voters = members().voters;
     status.learners = members().learners;
     status.caughtUpAt = m_caughtUpAt;
+    if (isLeader()) {
+        status.inContact.push_back(m_self);
+        for (const auto &[member, progress] : m_progress) {
+            if (hasRecentContact(member))
+                status.inContact.push_back(member);
+        }
+    }
     return status;
 }
 
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -81,6 +81,7 @@
     std::vector<MemberId> learners;
     //! Last time at which a follower had applied every entry that its leader reported as committed.
     Instant caughtUpAt = Instant::min();
+    std::vector<MemberId> inContact; //!< Members that a leader has recently heard; with itself.
 };
 
 //! Messages to send and completions to deliver after a call.
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -34,6 +34,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 //! A follower whose state may be older than this does not tell it to entry hosts as current.
 constexpr Duration MaxStateLag = std::chrono::seconds(1);
+//! A longer time between two ticks is a pause of the process.
+constexpr Duration MaxTickPause = std::chrono::milliseconds(500);
 constexpr Duration HostObservationInterval = std::chrono::milliseconds(400);
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(80);
 constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(300);
@@ -138,6 +140,7 @@
         }
         forwardStateReports(now);
         updateKnownLeader(now);
+        m_tickedAt = now;
         reconcileMembers(now);
         m_timer.expires_after(TickInterval);
         m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
@@ -488,7 +491,9 @@
     void updateKnownLeader(Instant now)
     {
         const auto status = m_quorum->status();
-        if (status.leader == m_knownLeader)
+        // A paused process has missed the reports of all others.
+        const bool wasPaused = now - m_tickedAt > MaxTickPause;
+        if (status.leader == m_knownLeader && !wasPaused)
             return;
         m_knownLeader = status.leader;
         m_leaderSince = now;
@@ -584,6 +589,7 @@
     std::uint64_t m_completeLists = 0; //!< Sent to entry hosts since the start.
     Instant m_hostObservationsSentAt = Instant(Duration(0));
     Instant m_leaderSince {};
+    Instant m_tickedAt {};
     Instant m_memberStepAt = Instant(Duration(0));
     MemberId m_knownLeader = 0;
     bool m_started = false;
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
@@ -10,13 +10,14 @@
     if (isNew)
         return true;
     auto &entry = it->second;
-    if (lastSeenAt < entry.lastSeenAt)
+    const bool isRelayed = observation.age > Duration(0);
+    const bool isChanged = entry.host != observation.host;
+    const Duration minGain = isRelayed && !isChanged ? MinRelayedGain : Duration(0);
+    if (lastSeenAt < entry.lastSeenAt + minGain)
         return false;
     entry.lastSeenAt = lastSeenAt;
-    if (entry.host == observation.host)
-        return false;
     entry.host = observation.host;
-    return true;
+    return isChanged;
 }
 
 std::vector<HostAnnouncement> FleetDirectory::alive(HostRole role, Instant now) const
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
@@ -22,7 +22,13 @@
     //! A host is removed this long after it was last seen.
     static constexpr Duration RetentionTime = std::chrono::seconds(60);
 
-    //! Records an observation. @return True if the host is new or its announcement has changed.
+    //! A relayed observation of an unchanged host takes effect if it is later by more than this.
+    //! The delay of the link is not part of its age, so that a host's last sight would move on with
+    //! each exchange between control hosts.
+    static constexpr Duration MinRelayedGain = std::chrono::milliseconds(250);
+
+    //! Records an observation; one without an age is the host's own report. @return True if the
+    //! host is new or its announcement has changed.
     bool observe(const HostObservation &observation, Instant now);
     //! @return Live hosts with the given role, ordered by name.
     [[nodiscard]] std::vector<HostAnnouncement> alive(HostRole role, Instant now) const;
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
@@ -59,9 +59,11 @@
 
 bool isSilent(const MembershipPolicyInput &input, MemberId member)
 {
+    if (contains(input.status.inContact, member) || input.timeAsLeader < LeaderSettlingTime)
+        return false;
     const auto *observation = findObservation(input, member);
     const Duration silence = observation == nullptr ? input.timeAsLeader : observation->age;
-    return std::min(silence, input.timeAsLeader) > MemberSilenceTimeout;
+    return silence > MemberSilenceTimeout;
 }
 
 } // namespace
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -32,12 +32,15 @@
     RaftStatus status;
     std::vector<RegisterMember> registered;
     std::vector<HostObservation> hosts;
-    Duration timeAsLeader { 0 }; //!< A new leader may not have received all reports yet.
+    Duration timeAsLeader { 0 }; //!< Without a pause of the process.
     std::uint32_t toleratedFailures = 1;
 };
 
-//! A member that has not reported for this long may be removed.
-inline constexpr Duration MemberSilenceTimeout = std::chrono::seconds(6);
+//! A member that has not reported for this long may be removed. A lost member counts as a voter
+//! meanwhile: two more losses than are tolerated end the quorum.
+inline constexpr Duration MemberSilenceTimeout = std::chrono::seconds(3);
+//! Time in which a new leader receives the reports of all members.
+inline constexpr Duration LeaderSettlingTime = std::chrono::seconds(1);
 //! Minimum time between two steps.
 inline constexpr Duration MembershipStepInterval = std::chrono::milliseconds(300);
 
--- a/packages/coordination/test/fleet/fleet_directory_test.cpp
+++ b/packages/coordination/test/fleet/fleet_directory_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST_SUITE(FleetDirectoryTest);
     CPPUNIT_TEST(hostIsAliveUntilLivenessTimeout);
     CPPUNIT_TEST(olderObservationIsIgnored);
+    CPPUNIT_TEST(exchangesDoNotMoveTheLastSightOn);
     CPPUNIT_TEST(silentHostIsRemovedAfterRetentionTime);
     CPPUNIT_TEST(laterListReadingIsApplied);
     CPPUNIT_TEST(reportOmitsListHeldByReceiver);
@@ -52,6 +53,28 @@
         CPPUNIT_ASSERT(directory.alive(HostRole::Entry, m_now + seconds(2)).empty());
     }
 
+    // Guards against a lost host that seems to have been seen later with each exchange over a link
+    // with a delay, so that it is believed alive for too long.
+    void exchangesDoNotMoveTheLastSightOn()
+    {
+        constexpr milliseconds LinkDelay { 70 };
+        constexpr milliseconds Interval { 100 };
+        constexpr seconds Silence { 3 };
+        FleetDirectory one;
+        FleetDirectory other;
+        (void)one.observe(entryHost("a", Duration(0)), m_now);
+        (void)other.observe(entryHost("a", Duration(0)), m_now);
+        const Instant end = m_now + Silence;
+        for (Instant now = m_now + Interval; now < end; now += Interval) {
+            const auto fromOne = one.observations(now - LinkDelay).front();
+            const auto fromOther = other.observations(now - LinkDelay).front();
+            (void)one.observe(fromOther, now);
+            (void)other.observe(fromOne, now);
+        }
+        const Duration believed = one.observations(end).front().age;
+        CPPUNIT_ASSERT(believed + FleetDirectory::MinRelayedGain >= Silence);
+    }
+
     void olderObservationIsIgnored()
     {
         FleetDirectory directory;
--- a/packages/coordination/test/fleet/membership_policy_test.cpp
+++ b/packages/coordination/test/fleet/membership_policy_test.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(newMemberIsAddedBeforeTheOldOneIsRemoved);
     CPPUNIT_TEST(silentMembersAreRemovedOnlyWhileEnoughVotersRemain);
     CPPUNIT_TEST(newLeaderWaitsBeforeRemovingSilentMember);
+    CPPUNIT_TEST(replacedMembersAreRemovedBeforeTheNextLossCounts);
+    CPPUNIT_TEST(memberInContactIsNotRemoved);
     CPPUNIT_TEST(noRemovalWhileALearnerCatchesUp);
     CPPUNIT_TEST(entryHostsAreNotAdded);
     CPPUNIT_TEST_SUITE_END();
@@ -101,6 +103,38 @@
         CPPUNIT_ASSERT(ggv::nextMembershipStep(input).has_value());
     }
 
+    // Guards against voters that are gone for good and still count when the operators allow the
+    // next losses: 4 s after the successors started, with a new leader meanwhile.
+    void replacedMembersAreRemovedBeforeTheNextLossCounts()
+    {
+        auto input = sixVoters();
+        input.status.voters = { 1, 2, 3, 4, 5, 6, 70, 80 };
+        input.hosts.push_back(memberAt(7, 70, Duration(0)));
+        input.hosts.push_back(memberAt(8, 80, Duration(0)));
+        input.registered.push_back({ 70, addressOf(7) });
+        input.registered.push_back({ 80, addressOf(8) });
+        input.hosts[0].age = input.hosts[1].age = std::chrono::milliseconds(3100);
+        input.timeAsLeader = std::chrono::milliseconds(1200);
+        for (const MemberId gone : { 1, 2 }) {
+            const auto step = ggv::nextMembershipStep(input);
+            CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Remove);
+            CPPUNIT_ASSERT_EQUAL(gone, step->member);
+            std::erase(input.status.voters, gone);
+        }
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+        input.timeAsLeader = std::chrono::milliseconds(900);
+        input.status.voters.push_back(1);
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+    }
+
+    void memberInContactIsNotRemoved()
+    {
+        auto input = sixVoters();
+        input.hosts[0].age = seconds(20);
+        input.status.inContact = { 1 };
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+    }
+
     void noRemovalWhileALearnerCatchesUp()
     {
         auto input = sixVoters();
