--- a/packages/coordination/ggv/coordination/control/configuration_feed.cpp
+++ b/packages/coordination/ggv/coordination/control/configuration_feed.cpp
@@ -14,16 +14,26 @@
 {
     if (content->version() <= m_newest->version())
         return false;
-    if (delta.empty() || content->version() != m_newest->version() + 1)
+    if (delta.empty() || content->version() != m_newest->version() + 1) {
         m_deltas.clear();
+        m_retainedBytes = 0;
+    }
     if (!delta.empty())
-        m_deltas.push_back({ content->version(), Bytes(delta.begin(), delta.end()) });
-    if (m_deltas.size() > MaxRetainedDeltas)
-        m_deltas.pop_front();
+        retain(content->version(), delta);
     m_newest = std::move(content);
     return true;
 }
 
+void ConfigurationFeed::retain(RegisterVersion to, ByteView delta)
+{
+    m_retainedBytes += delta.size();
+    m_deltas.push_back({ to, Bytes(delta.begin(), delta.end()) });
+    while (m_deltas.size() > MaxRetainedDeltas || m_retainedBytes > MaxRetainedBytes) {
+        m_retainedBytes -= m_deltas.front().delta.size();
+        m_deltas.pop_front();
+    }
+}
+
 bool ConfigurationFeed::accept(const ConfigurationUpdate &update)
 {
     if (update.to <= m_newest->version())
--- a/packages/coordination/ggv/coordination/control/configuration_feed.hpp
+++ b/packages/coordination/ggv/coordination/control/configuration_feed.hpp
@@ -21,6 +21,8 @@
 public:
     //! Number of deltas that are retained for hosts that lag slightly.
     static constexpr std::size_t MaxRetainedDeltas = 1024;
+    //! Size up to which deltas are retained, in bytes; others get the complete register.
+    static constexpr std::size_t MaxRetainedBytes = std::size_t { 8 } * 1024 * 1024;
 
     //! Creates the feed with an empty register.
     ConfigurationFeed();
@@ -47,6 +49,8 @@
     [[nodiscard]] const std::shared_ptr<const Register> &newest() const noexcept;
     //! Returns the register in force, or null if none is confirmed.
     [[nodiscard]] std::shared_ptr<const Register> inForce() const noexcept;
+    //! Returns the total size of the retained deltas, in bytes.
+    [[nodiscard]] std::size_t retainedBytes() const noexcept { return m_retainedBytes; }
     //! Returns the update from a version to the newest one, or std::nullopt if the version is not
     //! older.
     [[nodiscard]] std::optional<ConfigurationUpdate> updateFor(RegisterVersion version) const;
@@ -58,10 +62,12 @@
         Bytes delta;
     };
 
+    void retain(RegisterVersion to, ByteView delta);
     [[nodiscard]] std::optional<Bytes> mergedDelta(RegisterVersion from) const;
 
     std::shared_ptr<const Register> m_newest;
     std::deque<RetainedDelta> m_deltas; //!< Consecutive; the last one leads to m_newest.
+    std::size_t m_retainedBytes = 0; //!< Total size of m_deltas.
     std::optional<RegisterVersion> m_confirmed;
 };
 
