Test that a frame counts as being sent only while the peer reads

Covers FrameConnection::isSendingFrame(), on which the contact of a leader with members that receive a long message rests.

--- a/packages/transport/test/net/frame_connection_test.cpp
+++ b/packages/transport/test/net/frame_connection_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(invalidAddressIsUnreachable);
     CPPUNIT_TEST(truncatedFrameIsNeverDelivered);
     CPPUNIT_TEST(sendQueueToSlowReaderIsBounded);
+    CPPUNIT_TEST(frameIsBeingSentOnlyWhileThePeerReads);
     CPPUNIT_TEST(refusedConnectIsDistinguishedFromUnreachable);
     CPPUNIT_TEST(unansweredConnectFailsAtItsTimeout);
     CPPUNIT_TEST_SUITE_END();
@@ -174,6 +175,35 @@
         CPPUNIT_ASSERT(sent - m_accepted.connection->bytesSent() <= limit + 2 * frame.size());
     }
 
+    // A long frame on its way shows that the peer lives; one that nobody reads does not.
+    void frameIsBeingSentOnlyWhileThePeerReads()
+    {
+        constexpr std::size_t FrameBytes = std::size_t { 48 } * 1024 * 1024;
+        constexpr std::size_t ReadBytes = std::size_t { 1024 } * 1024;
+        FrameOptions options;
+        options.silenceTimeout = seconds(WaitSeconds);
+        ConnectionEnd sender;
+        const FrameListener listener(
+            m_context, { "127.0.0.1", 0 }, options,
+            [&sender](auto connection) { sender.start(std::move(connection)); });
+        auto peer = RawSocket::connect(m_context, listener.port());
+        runUntil([&] { return sender.connection != nullptr; });
+        CPPUNIT_ASSERT(!sender.connection->isSendingFrame());
+        sender.connection->send(Bytes(FrameBytes));
+        // The operating system's buffers fill up, then nothing moves any more.
+        runUntil([&] { return !sender.connection->isSendingFrame(); });
+        CPPUNIT_ASSERT(sender.connection->queuedBytes() > 0);
+        std::vector<char> buf(ReadBytes);
+        const auto readPart = [&] {
+            (void)::recv(peer.handle(), buf.data(), buf.size(), MSG_DONTWAIT);
+            return sender.connection->isSendingFrame();
+        };
+        runUntil(readPart);
+        runUntil([&] { return readPart(), sender.connection->queuedBytes() == 0; });
+        CPPUNIT_ASSERT(!sender.connection->isSendingFrame());
+        sender.connection->close();
+    }
+
     void refusedConnectIsDistinguishedFromUnreachable()
     {
         tcp::acceptor acceptor(m_context, { asio::ip::address_v4::loopback(), 0 });
