--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
@@ -23,8 +23,8 @@
     static constexpr Duration RetentionTime = std::chrono::seconds(60);
 
     //! A relayed observation of an unchanged host takes effect if it is later by more than this.
-    //! The delay of the link is not part of its age, so that a host's last sight would move on with
-    //! each exchange between control hosts.
+    //! The delay of the link is not part of its age: without this minimum, each exchange between
+    //! control hosts would make a lost host appear to have been seen later.
     static constexpr Duration MinRelayedGain = std::chrono::milliseconds(250);
 
     //! Records an observation; one without an age is the host's own report. @return True if the
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -36,8 +36,8 @@
     std::uint32_t toleratedFailures = 1;
 };
 
-//! A member that has not reported for this long may be removed. A lost member counts as a voter
-//! meanwhile: two more losses than are tolerated end the quorum.
+//! A member that has not reported for this long may be removed. Until then it counts for the
+//! majority, although it is lost.
 inline constexpr Duration MemberSilenceTimeout = std::chrono::seconds(3);
 //! Time in which a new leader receives the reports of all members.
 inline constexpr Duration LeaderSettlingTime = std::chrono::seconds(1);
