--- a/packages/coordination/test/quorum/quorum_test.cpp
+++ b/packages/coordination/test/quorum/quorum_test.cpp
@@ -213,7 +213,7 @@
         setup.options.seed = id;
         Host &host = m_hosts[id - 1];
         host.quorum = Quorum::start(m_loop, host.disk, std::move(setup), host.machine,
-                                    [this](ggv::RaftMessage message) {
+                                    [this](const ggv::RaftMessage &message) {
                                         boost::asio::post(m_loop, [this, message] {
                                             m_hosts[message.to - 1].quorum->receive(message);
                                         });
