--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -103,6 +103,7 @@
     void sendEntries(MemberId member, detail::ReplicationProgress &progress);
     [[nodiscard]] bool isSnapshotSmaller(LogIndex next) const;
     void sendHeartbeat(MemberId member, detail::ReplicationProgress &progress);
+    void refreshSnapshot();
     void sendSnapshot(MemberId member, detail::ReplicationProgress &progress);
     void sendAppend(MemberId member, LogIndex previous, std::vector<LogEntry> entries);
 
--- a/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
@@ -171,6 +171,7 @@
 {
     const bool isMissing = !m_log.termAt(progress.next() - 1);
     if (isMissing || (!progress.hasSentSnapshot() && isSnapshotSmaller(progress.next()))) {
+        refreshSnapshot();
         sendSnapshot(member, progress);
         return;
     }
@@ -189,6 +190,15 @@
         && m_log.bytesBetween(next, snapshot.index) > snapshot.state.size();
 }
 
+// Takes a new snapshot if the entries after the latest one have more bytes: a new member must catch
+// up before the next loss.
+void Raft::Implementation::refreshSnapshot()
+{
+    const Snapshot &snapshot = m_log.snapshot();
+    if (m_log.bytesBetween(snapshot.index + 1, m_appliedIndex) > snapshot.state.size())
+        takeSnapshot();
+}
+
 // Sends a snapshot again if the member has answered later messages but not the snapshot. Lost
 // append requests are detected otherwise: the member rejects the heartbeat.
 void Raft::Implementation::sendHeartbeat(MemberId member, detail::ReplicationProgress &progress)
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -362,6 +362,7 @@
     CPPUNIT_TEST(boundsTheBytesInFlightToAMember);
     CPPUNIT_TEST(sendsTheSnapshotIfItIsSmallerThanTheEntries);
     CPPUNIT_TEST(repeatsASnapshotOnlyIfItWasLost);
+    CPPUNIT_TEST(newMemberGetsOneStateInsteadOfManyEntries);
     CPPUNIT_TEST(followerIsCaughtUpOnceItHasAppliedWhatIsCommitted);
     CPPUNIT_TEST(followerWaitsWhileALongMessageArrives);
     CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
@@ -438,6 +439,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, snapshotsTo(3, heartbeat()));
     }
 
+    // Guards against a member that lost its disk and takes longer than the next loss to catch up:
+    // on a distant host, each of the entries after an old snapshot costs a part of a round trip.
+    void newMemberGetsOneStateInsteadOfManyEntries()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        leadWithSnapshot(single);
+        CPPUNIT_ASSERT(single.raft->status().snapshotIndex < single.raft->status().commitIndex);
+        constexpr MemberId NewMember = 9;
+        static_cast<void>(single.raft->addMember(NewMember, single.now));
+        static_cast<void>(single.raft->takeOutput());
+        static_cast<void>(
+            single.receive(2, AppendAnswer { 1, true, single.raft->status().lastIndex, 0 }));
+        const auto output = single.receive(NewMember, AppendAnswer { 1, false, 0, 0 });
+        const auto *snapshot = snapshotTo(NewMember, output);
+        CPPUNIT_ASSERT(snapshot != nullptr);
+        CPPUNIT_ASSERT_EQUAL(single.raft->status().commitIndex, snapshot->index);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, payloadTo(NewMember, output));
+    }
+
     // Guards against a follower that presents an old state as current while it catches up.
     void followerIsCaughtUpOnceItHasAppliedWhatIsCommitted()
     {
@@ -736,6 +757,17 @@
         CPPUNIT_ASSERT(single.raft->status().logEntries == Commands + 1);
     }
 
+    // Returns the snapshot that is sent to a member, or null.
+    static const Snapshot *snapshotTo(MemberId member, const RaftOutput &output)
+    {
+        for (const RaftMessage &it : output.messages) {
+            const auto *request = std::get_if<InstallSnapshot>(&it.body);
+            if (it.to == member && request != nullptr)
+                return &request->snapshot;
+        }
+        return nullptr;
+    }
+
     static bool granted(const RaftOutput &output)
     {
         return output.messages.size() == 1
