Take a state for current only once its leader has committed in its own term

Cause: a follower counts as caught up once it has applied what its leader reports as committed. A new leader doesn't know all that is committed before it has committed an entry of its own term; until then its followers presented an older state to entry hosts as current, and these refused what it lacks.

Change: the report counts only if the entry at the commit index is of the leader's term.

Test: RaftRulesTest::followerIsNotCaughtUpBeforeANewLeaderHasCommitted; failed before.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -113,8 +113,10 @@
         m_output.leadershipChanged = true;
     if (leader != 0)
         m_hasYielded = false;
-    if (m_leader != leader)
-        m_leaderCommit.reset();
+    if (m_leader != leader) {
+        m_leaderCommit = 0;
+        m_leaderHasCommitted = false;
+    }
     m_leader = leader;
 }
 
--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -55,7 +55,7 @@
         apply(m_log.at(m_appliedIndex + 1));
         ++m_appliedIndex;
     }
-    if (m_leaderCommit && m_appliedIndex >= *m_leaderCommit)
+    if (m_leaderHasCommitted && m_appliedIndex >= m_leaderCommit)
         m_caughtUpAt = m_now;
     completeMemberChanges();
     if (m_appliedIndex - m_log.snapshot().index >= m_options.snapshotAfterEntries
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -154,7 +154,8 @@
                              // after it.
     Instant m_leaderTransfer
         = Instant::min(); // Last time at which a message of the leader was arriving.
-    std::optional<LogIndex> m_leaderCommit; // Commit index that the present leader has reported.
+    LogIndex m_leaderCommit = 0; // Commit index that the present leader has reported.
+    bool m_leaderHasCommitted = false; // An entry of its own term, as far as known here.
     Instant m_caughtUpAt = Instant::min();
     Instant m_electionDeadline;
     std::mt19937_64 m_random;
--- a/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_replication.cpp
@@ -66,12 +66,15 @@
 {
     if (!isWellFormed(request) || !acceptLeader(from, request.term))
         return;
-    m_leaderCommit = std::max(m_leaderCommit.value_or(0), request.commitIndex);
+    m_leaderCommit = std::max(m_leaderCommit, request.commitIndex);
     if (const auto hint = findConflict(request)) {
         answerAppend(from, false, *hint, request.readRound);
         return;
     }
     appendReceivedEntries(request);
+    // Before that, a new leader does not know all that is committed.
+    if (m_log.termAt(request.commitIndex) == request.term)
+        m_leaderHasCommitted = true;
     const LogIndex matched = request.previousIndex + request.entries.size();
     commitUpTo(std::min(request.commitIndex, matched));
     answerAppend(from, true, std::max(matched, m_commitIndex), request.readRound);
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -364,6 +364,7 @@
     CPPUNIT_TEST(repeatsASnapshotOnlyIfItWasLost);
     CPPUNIT_TEST(newMemberGetsOneStateInsteadOfManyEntries);
     CPPUNIT_TEST(followerIsCaughtUpOnceItHasAppliedWhatIsCommitted);
+    CPPUNIT_TEST(followerIsNotCaughtUpBeforeANewLeaderHasCommitted);
     CPPUNIT_TEST(followerWaitsWhileALongMessageArrives);
     CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
     CPPUNIT_TEST(syncsOnceForManyProposals);
@@ -480,6 +481,26 @@
         CPPUNIT_ASSERT(caughtUpAt() < single.now);
     }
 
+    // Guards against an acknowledged configuration that entry hosts do not get after the loss of
+    // the leader: the next one knows that it is committed only after an entry of its own.
+    void followerIsNotCaughtUpBeforeANewLeaderHasCommitted()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        const auto caughtUpAt = [&single] { return single.raft->status().caughtUpAt; };
+        const LogEntry first { 1, 1, 0, encodeNumber(1) };
+        const LogEntry acknowledged { 2, 1, 0, encodeNumber(2) };
+        static_cast<void>(single.receive(2, AppendRequest { 1, 0, 0, 1, 1, { first } }));
+        CPPUNIT_ASSERT(caughtUpAt() == single.now);
+        static_cast<void>(single.receive(2, AppendRequest { 1, 1, 1, 1, 2, { acknowledged } }));
+        single.now += std::chrono::seconds(2);
+        static_cast<void>(single.receive(3, AppendRequest { 2, 2, 1, 1, 1, {} }));
+        CPPUNIT_ASSERT(caughtUpAt() < single.now);
+        const LogEntry ofNewLeader { 3, 2, 0, encodeNumber(3) };
+        static_cast<void>(single.receive(3, AppendRequest { 2, 2, 1, 3, 2, { ofNewLeader } }));
+        CPPUNIT_ASSERT(caughtUpAt() == single.now);
+    }
+
     // Guards against elections without end: a configuration that takes longer than the election
     // timeout on a link would never be acknowledged.
     void followerWaitsWhileALongMessageArrives()
