Keep a leader whose messages are still on their way to its followers

Cause: heartbeats wait behind a configuration. The leader counted followers as in contact while it saw its own connection take bytes, but the operating system, or a buffer on the way, takes a whole message at once; the rest of its way was silence, and the leader stepped down.

Ruled out: smaller send buffers, which show the own system's queue only.

Change: a follower that receives bytes of a long message of its leader confirms what it has committed, with round 0: this counts as contact and extends no lease. No message format changes.

Test: RaftScenarioTest::leaderStaysWhileLargeCommandsFillItsLinks and RaftRulesTest::followerConfirmsThatALongMessageArrives; both failed before.

--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -73,9 +73,18 @@
     } else if (member == m_leader && m_now < m_leaderContact + m_options.maxTransferTime) {
         m_leaderTransfer = m_now;
         resetElectionTimer();
+        confirmReception();
     }
 }
 
+// Tells the leader that this member is receiving a message of it. The leader itself may see nothing
+// of that: its operating system, or the network, holds the rest of the message.
+void Raft::Implementation::confirmReception()
+{
+    // Committed entries match the log of every leader. Round 0 extends no lease.
+    answerAppend(m_leader, true, m_commitIndex, 0);
+}
+
 void Raft::Implementation::handle(MemberId from, const VoteAnswer &answer)
 {
     if (!answer.granted && answer.term > m_hardState.term) {
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -84,6 +84,7 @@
     void becomeFollower(Term term);
     void saveHardState(const HardState &hardState);
     void checkQuorum();
+    void confirmReception();
     [[nodiscard]] bool hasRecentContact(MemberId member) const;
     [[nodiscard]] bool hasRecentContactWithMajority(const Membership &membership) const;
 
--- a/packages/coordination/ggv/coordination/quorum/quorum.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -261,6 +261,7 @@
 void Quorum::observeTransfer(MemberId member)
 {
     m_implementation->call([member](Raft &raft) { raft.observeTransfer(member, monotonicNow()); });
+    m_implementation->scheduleFlush();
 }
 
 void Quorum::propose(Bytes command, CompletionHandler onDone)
--- a/packages/coordination/test/consensus/cluster.hpp
+++ b/packages/coordination/test/consensus/cluster.hpp
@@ -179,6 +179,11 @@
     }
 
     NetworkFaults faults;
+    //! Messages from one member to another follow each other at this rate; 0 is unlimited. Senders
+    //! do not see it: buffers on the way take the whole message.
+    std::size_t linkBytesPerSecond = 0;
+    //! Time for which a member waits for its disk at each sync of a file or folder.
+    Milliseconds syncTime { 0 };
 
     [[nodiscard]] std::mt19937_64 &random() noexcept { return m_random; }
     [[nodiscard]] Member &member(MemberId id) { return *m_members.at(id); }
@@ -406,9 +411,15 @@
     void runMember(Member &host)
     {
         try {
+            const std::uint64_t waits = host.disk.waits();
             deliver(host);
+            observeArrivals(host);
             host.raft->tick(host.localTime(m_now));
-            handle(host, host.raft->takeOutput());
+            const RaftOutput output = host.raft->takeOutput();
+            const auto blockedFor = syncTime * (host.disk.waits() - waits);
+            if (blockedFor > Milliseconds(0))
+                host.frozenUntil = m_now + blockedFor;
+            handle(host, output, blockedFor);
         } catch (const Error &error) {
             require(error.code() == ResultCode::StorageIo, error.what());
             crash(host);
@@ -425,15 +436,15 @@
         }
     }
 
-    void handle(Member &host, const RaftOutput &output)
+    void handle(Member &host, const RaftOutput &output, Milliseconds blockedFor)
     {
         for (const RaftMessage &message : output.messages)
-            send(host, message);
+            send(host, message, blockedFor);
         for (const Completion &completion : output.completions)
             complete(host, completion);
     }
 
-    void send(const Member &from, const RaftMessage &message)
+    void send(const Member &from, const RaftMessage &message, Milliseconds blockedFor)
     {
         const auto to = m_members.find(message.to);
         if (to == m_members.end() || to->second->group != from.group
@@ -444,7 +455,29 @@
             const auto range
                 = static_cast<std::uint64_t>((faults.maxDelay - faults.minDelay).count());
             const Milliseconds delay = faults.minDelay + Milliseconds(m_random() % (range + 1));
-            m_queues[message.to].emplace(m_now + delay, encodeRaftMessage(message));
+            Bytes bytes = encodeRaftMessage(message);
+            const Instant leftAt = transmit(from.id, message.to, m_now + blockedFor, bytes.size());
+            m_queues[message.to].emplace(leftAt + delay, std::move(bytes));
+        }
+    }
+
+    // Returns when the last byte of a message has left the sender.
+    Instant transmit(MemberId from, MemberId to, Instant sentAt, std::size_t bytes)
+    {
+        if (linkBytesPerSecond == 0)
+            return sentAt;
+        Instant &freeAt = m_linkFreeAt[{ from, to }];
+        const Duration time(static_cast<Duration::rep>(bytes * 1'000'000 / linkBytesPerSecond));
+        freeAt = std::max(freeAt, sentAt) + time;
+        return freeAt;
+    }
+
+    // Members see that messages are arriving, as their connections do.
+    void observeArrivals(Member &host)
+    {
+        for (const auto &[link, freeAt] : m_linkFreeAt) {
+            if (link.second == host.id && freeAt > m_now + Step)
+                host.raft->observeTransfer(link.first, host.localTime(m_now));
         }
     }
 
@@ -558,6 +591,7 @@
     std::vector<MemberId> m_firstVoters;
     std::map<MemberId, std::unique_ptr<Member>> m_members;
     std::map<MemberId, std::multimap<Instant, Bytes>> m_queues;
+    std::map<std::pair<MemberId, MemberId>, Instant> m_linkFreeAt; //!< By sender and receiver.
     SharedHistory m_history;
     std::map<Term, MemberId> m_leaders;
     std::map<Ticket, Request> m_requests;
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(unreachableLearnerDoesNotBlockOtherChanges);
     CPPUNIT_TEST(membershipChangesAreIdempotent);
     CPPUNIT_TEST(differentBootstrapVotersFormNoSecondQuorum);
+    CPPUNIT_TEST(leaderStaysWhileLargeCommandsFillItsLinks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,6 +109,29 @@
         }
     }
 
+    // Guards against elections without end on links that a large configuration takes longer than
+    // the election timeout to cross, while the leader has already handed it to its operating
+    // system.
+    void leaderStaysWhileLargeCommandsFillItsLinks()
+    {
+        constexpr int Commands = 40;
+        constexpr std::size_t CommandBytes = 290'000;
+        Cluster cluster(6, 7, controlHostOptions());
+        cluster.faults.minDelay = Milliseconds(35);
+        cluster.faults.maxDelay = Milliseconds(35);
+        const MemberId leader = cluster.waitForLeader().id;
+        const Term term = cluster.member(leader).raft->status().term;
+        cluster.linkBytesPerSecond = 900'000;
+        for (int n = 0; n < Commands; ++n) {
+            cluster.propose(cluster.member(leader), Bytes(CommandBytes));
+            cluster.run(Milliseconds(330));
+            CPPUNIT_ASSERT_EQUAL(term, cluster.member(leader).raft->status().term);
+            CPPUNIT_ASSERT(RaftRole::Leader == cluster.member(leader).raft->status().role);
+        }
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.accepted() == Commands; }));
+        cluster.checkOutcome();
+    }
+
     void followerRejectsRequests()
     {
         Cluster cluster(3, 5);
@@ -283,6 +307,16 @@
     }
 
 private:
+    // Timeouts of the control hosts.
+    static RaftOptions controlHostOptions()
+    {
+        RaftOptions options;
+        options.heartbeatInterval = Milliseconds(80);
+        options.electionTimeoutMin = Milliseconds(300);
+        options.electionTimeoutMax = Milliseconds(600);
+        return options;
+    }
+
     static void proposeManyUntilAccepted(Cluster &cluster, int count)
     {
         for (int i = 0; i < count; ++i)
@@ -367,6 +401,7 @@
     CPPUNIT_TEST(followerIsNotCaughtUpBeforeANewLeaderHasCommitted);
     CPPUNIT_TEST(followerWaitsWhileALongMessageArrives);
     CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
+    CPPUNIT_TEST(followerConfirmsThatALongMessageArrives);
     CPPUNIT_TEST(syncsOnceForManyProposals);
     CPPUNIT_TEST(failedSyncPreventsOutput);
     CPPUNIT_TEST(rejectsLogWithLaterTermThanHardState);
@@ -517,6 +552,27 @@
         CPPUNIT_ASSERT(RaftRole::Candidate == single.raft->status().role);
     }
 
+    // Guards against a leader that gives up while its message is on the way to all others.
+    void followerConfirmsThatALongMessageArrives()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        single.now += std::chrono::seconds(3);
+        static_cast<void>(single.receive(2, AppendRequest { 1, 0, 0, 0, 4, {} }));
+        single.raft->observeTransfer(2, single.now);
+        const auto output = single.raft->takeOutput();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, output.messages.size());
+        CPPUNIT_ASSERT_EQUAL(MemberId { 2 }, output.messages.front().to);
+        const auto &answer = std::get<AppendAnswer>(output.messages.front().body);
+        CPPUNIT_ASSERT(answer.accepted);
+        // It confirms neither entries nor a lease.
+        CPPUNIT_ASSERT_EQUAL(LogIndex { 0 }, answer.lastIndex);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, answer.readRound);
+        // A message of another member confirms nothing.
+        single.raft->observeTransfer(3, single.now);
+        CPPUNIT_ASSERT(single.raft->takeOutput().messages.empty());
+    }
+
     void leaderStaysWhileALongMessageIsSent()
     {
         FakeDisk disk;
--- a/packages/state/test/storage/fake_disk.hpp
+++ b/packages/state/test/storage/fake_disk.hpp
@@ -52,6 +52,7 @@
     {
         countWrite();
         ++m_syncs;
+        ++m_waits;
         File &file = m_files[std::string(name)];
         file.durable = file.written;
     }
@@ -60,6 +61,7 @@
     {
         countWrite();
         requireSpace();
+        m_waits += 2; // The file and its folder.
         const Bytes content(bytes.begin(), bytes.end());
         m_files[std::string(name)] = { content, content };
     }
@@ -67,6 +69,7 @@
     void remove(std::string_view name) override
     {
         countWrite();
+        ++m_waits;
         m_files.erase(std::string(name));
     }
 
@@ -102,6 +105,8 @@
     }
 
     [[nodiscard]] std::uint64_t syncs() const noexcept { return m_syncs; }
+    //! @return How often the process has waited for the disk, for files and folders.
+    [[nodiscard]] std::uint64_t waits() const noexcept { return m_waits; }
     [[nodiscard]] std::size_t size(const std::string &name) const
     {
         return m_files.at(name).written.size();
@@ -151,6 +156,7 @@
     std::optional<std::uint64_t> m_writesLeft;
     bool m_isFull = false;
     std::uint64_t m_syncs = 0;
+    std::uint64_t m_waits = 0;
 };
 
 } // namespace ggv::test
