Let elections take the time that slow disks need

Cause: a term and a vote are synced before they are sent, each with a file and its folder: two syncs at the candidate and four at a voter, which saved the term and the vote one after the other. With the round trip this took longer than the election timeout of 300 to 600 ms, and each election cut off the one before.

Change: a voter saves term and vote at once, and each failed election doubles the timeout of the next, up to eight times, until there is a leader.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -111,8 +111,10 @@
 {
     if (m_leader != leader)
         m_output.leadershipChanged = true;
-    if (leader != 0)
+    if (leader != 0) {
         m_hasYielded = false;
+        m_electionsWithoutLeader = 0;
+    }
     if (m_leader != leader) {
         m_leaderCommit = 0;
         m_leaderHasCommitted = false;
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -45,15 +45,20 @@
 {
     if (hasRecentLeaderContact())
         return;
-    if (request.term > m_hardState.term)
-        becomeFollower(request.term);
-    const bool canVoteForCandidate = m_hardState.votedFor == 0 || m_hardState.votedFor == from;
-    const bool granted = request.term == m_hardState.term && canVoteForCandidate
+    const bool isNewTerm = request.term > m_hardState.term;
+    const bool canVoteForCandidate
+        = isNewTerm || m_hardState.votedFor == 0 || m_hardState.votedFor == from;
+    const bool granted = request.term >= m_hardState.term && canVoteForCandidate
         && m_log.isUpToDate(request.lastIndex, request.lastTerm);
-    if (granted) {
+    if (granted && isNewTerm)
+        ++m_electionsWithoutLeader;
+    // One sync for the term and the vote.
+    if (isNewTerm)
+        becomeFollower(request.term, granted ? from : 0);
+    else if (granted)
         saveHardState({ m_hardState.term, from });
+    if (granted)
         resetElectionTimer();
-    }
     send(from, VoteAnswer { m_hardState.term, granted, false });
 }
 
@@ -133,7 +138,16 @@
     const auto range = m_options.electionTimeoutMax - m_options.electionTimeoutMin;
     const auto width = static_cast<std::uint64_t>(std::max(range.count(), Duration::rep { 0 })) + 1;
     const Duration jitter(static_cast<Duration::rep>(m_random() % width));
-    m_electionDeadline = m_now + m_options.electionTimeoutMin + jitter;
+    m_electionDeadline = m_now + electionBackoff() * (m_options.electionTimeoutMin + jitter);
+}
+
+// Terms and votes are synced before they are sent. On slow disks an election can take longer than
+// the timeout, so that each would be cut off by the next one.
+int Raft::Implementation::electionBackoff() const noexcept
+{
+    constexpr int MaxDoublings = 3;
+    const int failedElections = std::max(m_electionsWithoutLeader - 1, 0);
+    return 1 << std::min(failedElections, MaxDoublings);
 }
 
 void Raft::Implementation::campaign(bool preVote)
@@ -169,6 +183,7 @@
 void Raft::Implementation::startElection()
 {
     saveHardState({ m_hardState.term + 1, m_self });
+    ++m_electionsWithoutLeader;
     resetElectionTimer();
     campaign(false);
     if (wonElection())
@@ -189,10 +204,10 @@
     proposeMembership(members());
 }
 
-void Raft::Implementation::becomeFollower(Term term)
+void Raft::Implementation::becomeFollower(Term term, MemberId votedFor)
 {
     if (term > m_hardState.term)
-        saveHardState({ term, 0 });
+        saveHardState({ term, votedFor });
     const bool wasLeader = isLeader();
     m_role = RaftRole::Follower;
     m_votes.clear();
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -75,13 +75,14 @@
     [[nodiscard]] bool hasRecentLeaderContact() const noexcept;
     [[nodiscard]] bool wonElection() const;
     void resetElectionTimer();
+    [[nodiscard]] int electionBackoff() const noexcept;
     void campaign(bool preVote);
     void sendVoteRequests();
     void yieldTo(MemberId candidate);
     void startPreVote();
     void startElection();
     void becomeLeader();
-    void becomeFollower(Term term);
+    void becomeFollower(Term term, MemberId votedFor = 0);
     void saveHardState(const HardState &hardState);
     void checkQuorum();
     void confirmReception();
@@ -159,6 +160,7 @@
     bool m_leaderHasCommitted = false; // An entry of its own term, as far as known here.
     Instant m_caughtUpAt = Instant::min();
     Instant m_electionDeadline;
+    int m_electionsWithoutLeader = 0; // Started or voted in since there was a leader.
     std::mt19937_64 m_random;
 
     // Candidate.
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -9,6 +9,8 @@
 
 constexpr MemberId Self = 1;
 const std::vector<MemberId> ThreeVoters { 1, 2, 3 };
+//! Time from the loss of a leader to the next one, whatever the disks.
+constexpr Milliseconds MaxElectionTime { 10'000 };
 
 class RaftScenarioTest : public CppUnit::TestFixture
 {
@@ -29,6 +31,7 @@
     CPPUNIT_TEST(unreachableLearnerDoesNotBlockOtherChanges);
     CPPUNIT_TEST(membershipChangesAreIdempotent);
     CPPUNIT_TEST(differentBootstrapVotersFormNoSecondQuorum);
+    CPPUNIT_TEST(slowDisksElectALeader);
     CPPUNIT_TEST(leaderStaysWhileLargeCommandsFillItsLinks);
     CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +112,30 @@
         }
     }
 
+    // Guards against elections without end: a term and a vote are synced before they are sent,
+    // which can take longer than the election timeout.
+    void slowDisksElectALeader()
+    {
+        const RaftOptions options = controlHostOptions();
+        for (const Milliseconds syncTime :
+             { Milliseconds(20), Milliseconds(60), Milliseconds(100), Milliseconds(200) }) {
+            for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+                Cluster cluster(6, seed, options);
+                cluster.faults.minDelay = Milliseconds(35);
+                cluster.faults.maxDelay = Milliseconds(40);
+                cluster.syncTime = syncTime;
+                const std::string run = "syncs of " + std::to_string(syncTime.count())
+                    + " ms, seed " + std::to_string(seed);
+                const auto isElected = [&] { return cluster.leader() != nullptr; };
+                CPPUNIT_ASSERT_MESSAGE(run, cluster.runUntil(isElected, MaxElectionTime));
+                cluster.proposeUntilAccepted();
+                cluster.crash(*cluster.leader());
+                CPPUNIT_ASSERT_MESSAGE(run, cluster.runUntil(isElected, MaxElectionTime));
+                cluster.proposeUntilAccepted();
+            }
+        }
+    }
+
     // Guards against elections without end on links that a large configuration takes longer than
     // the election timeout to cross, while the leader has already handed it to its operating
     // system.
@@ -386,6 +413,7 @@
     CPPUNIT_TEST(nonMemberNeverVotes);
     CPPUNIT_TEST(grantsNoVoteWhileALeaderMayHoldItsLease);
     CPPUNIT_TEST(persistsItsVoteAcrossRestarts);
+    CPPUNIT_TEST(syncsTermAndVoteTogether);
     CPPUNIT_TEST(candidateRepeatsUnansweredRequests);
     CPPUNIT_TEST(yieldsOnceToAnotherCandidate);
     CPPUNIT_TEST(firstLeaderNeedsEveryVoter);
@@ -647,6 +675,18 @@
         CPPUNIT_ASSERT(RaftRole::Candidate == single.raft->status().role);
     }
 
+    // Guards against votes that arrive after the election: each wait for a slow disk counts.
+    void syncsTermAndVoteTogether()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        single.now += std::chrono::seconds(60);
+        const std::uint64_t before = disk.waits();
+        CPPUNIT_ASSERT(granted(single.receive(2, VoteRequest { 5, 0, 0, false })));
+        const std::uint64_t ofOneFile = 2;
+        CPPUNIT_ASSERT_EQUAL(before + ofOneFile, disk.waits());
+    }
+
     void persistsItsVoteAcrossRestarts()
     {
         FakeDisk disk;
