Read what has arrived before a late timer starts an election

Cause: a member that was suspended, or waited for its disk, found its election timer expired and campaigned, although the leader's heartbeats were waiting on its connections; a leader in the same position took all others for silent.

Change: a timer that expires over 50 ms late is put off once by 20 ms.

--- a/packages/coordination/ggv/coordination/quorum/quorum.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -13,6 +13,10 @@
 
 //! Interval at which a suspended member checks whether the disk has room again.
 constexpr Duration ResumeInterval = std::chrono::milliseconds(500);
+//! A timer that expires later than this was held up by this process itself.
+constexpr Duration MaxTimerDelay = std::chrono::milliseconds(50);
+//! Time in which messages are handled that arrived while this process was held up.
+constexpr Duration PendingMessagesTime = std::chrono::milliseconds(20);
 //! Free space that a member needs to resume.
 constexpr std::size_t FreeSpaceProbeBytes = std::size_t { 64 } * 1024;
 
@@ -201,17 +205,35 @@
         if (deadline == m_timerDeadline)
             return;
         m_timerDeadline = deadline;
-        m_timer.expires_at(std::chrono::steady_clock::time_point(deadline.time_since_epoch()));
+        m_timerIsPostponed = false;
+        waitUntil(deadline);
+    }
+
+    void waitUntil(Instant instant)
+    {
+        m_timer.expires_at(std::chrono::steady_clock::time_point(instant.time_since_epoch()));
         m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
             const auto self = weak.lock();
-            if (ec || !self)
-                return;
-            self->m_timerDeadline = Instant::min();
-            self->call([](Raft &raft) { raft.tick(monotonicNow()); });
-            self->flush();
+            if (self && !ec)
+                self->onTimer();
         });
     }
 
+    // After the process was suspended or waited for its disk, messages that arrived meanwhile are
+    // handled first: the others were not silent.
+    void onTimer()
+    {
+        const Instant now = monotonicNow();
+        if (now - m_timerDeadline > MaxTimerDelay && !m_timerIsPostponed) {
+            m_timerIsPostponed = true;
+            waitUntil(now + PendingMessagesTime);
+            return;
+        }
+        m_timerDeadline = Instant::min();
+        call([now](Raft &raft) { raft.tick(now); });
+        flush();
+    }
+
     void registerHandler(Ticket ticket, CompletionHandler onDone)
     {
         m_completionHandlers.emplace(ticket, std::move(onDone));
@@ -229,6 +251,7 @@
     std::unique_ptr<Raft> m_raft; //!< Null while the disk is full.
     std::unordered_map<Ticket, CompletionHandler> m_completionHandlers;
     Instant m_timerDeadline = Instant::min();
+    bool m_timerIsPostponed = false;
     bool m_flushPending = false;
 };
 
--- a/packages/coordination/test/quorum/quorum_test.cpp
+++ b/packages/coordination/test/quorum/quorum_test.cpp
@@ -8,9 +8,11 @@
 #include <cstring>
 #include <optional>
 #include <set>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace {
 
@@ -47,6 +49,7 @@
     CPPUNIT_TEST(fullDiskSuspendsTheMember);
     CPPUNIT_TEST(memberResumesFromTheDisk);
     CPPUNIT_TEST(memberStartsOnAFullDisk);
+    CPPUNIT_TEST(pausedFollowerReadsItsMessagesBeforeAnElection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +91,36 @@
         CPPUNIT_ASSERT(propose(1) == ResultCode::Ok);
     }
 
+    // Guards against elections by a member that was suspended or waited for its disk while the
+    // leader's messages arrived.
+    void pausedFollowerReadsItsMessagesBeforeAnElection()
+    {
+        std::size_t voteRequests = 0;
+        ggv::QuorumSetup setup { "test", "test-", Self, { Self, 8, 9 }, {} };
+        setup.options.electionTimeoutMin = milliseconds(300);
+        setup.options.electionTimeoutMax = milliseconds(300);
+        m_quorum = Quorum::start(m_loop, m_disk, setup, m_machine,
+                                 [&voteRequests](const ggv::RaftMessage &message) {
+                                     const auto *request
+                                         = std::get_if<ggv::VoteRequest>(&message.body);
+                                     voteRequests += request == nullptr ? 0 : 1;
+                                 })
+                       .value();
+        const ggv::RaftMessage heartbeat { 8, Self, ggv::AppendRequest { 1, 0, 0, 0, 1, {} } };
+        m_quorum->receive(heartbeat);
+        m_loop.run_for(milliseconds(20));
+        std::this_thread::sleep_for(milliseconds(600));
+        // A message that is read from a connection after the timer has expired.
+        boost::asio::steady_timer arrival(m_loop, milliseconds(5));
+        arrival.async_wait(
+            [this, &heartbeat](boost::system::error_code) { m_quorum->receive(heartbeat); });
+        m_loop.run_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, voteRequests);
+        // Without further messages it does campaign.
+        m_loop.run_for(milliseconds(500));
+        CPPUNIT_ASSERT(voteRequests > 0);
+    }
+
 private:
     void openQuorum()
     {
