--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -62,6 +62,7 @@
     , m_log(store, std::move(recovered.snapshot), std::move(recovered.entries))
     , m_members(m_log.snapshot().index, std::move(membership))
     , m_commitIndex(m_log.snapshot().index)
+    , m_appliedBytes(options.snapshotOffset)
     , m_appliedIndex(m_commitIndex)
     , m_now(now)
     // Before the restart, this member may have acknowledged a leader whose lease is still valid.
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -43,6 +43,9 @@
     std::uint64_t maxAppendBytes = std::uint64_t { 1024 } * 1024;
     std::uint64_t snapshotAfterEntries = 1000;
     std::uint64_t snapshotAfterBytes = std::uint64_t { 8 } * 1024 * 1024; //!< Payload of entries.
+    //! Payload that counts as applied when a member starts. Members with different offsets take
+    //! their snapshots at different times, so that they do not wait for their disks all at once.
+    std::uint64_t snapshotOffset = 0;
     //! Payload of the entries before a snapshot that stay in memory.
     std::uint64_t retainedBytes = std::uint64_t { 8 } * 1024 * 1024;
     //! The same while a member in contact still needs the entries.
--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -113,7 +113,7 @@
         m_members = detail::MembershipHistory(snapshot.index, std::move(membership));
     m_commitIndex = snapshot.index;
     m_appliedIndex = snapshot.index;
-    m_appliedBytes = 0;
+    m_appliedBytes = m_options.snapshotOffset;
 }
 
 void Raft::Implementation::startReadRound()
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -146,7 +146,7 @@
     detail::RaftLog m_log;
     detail::MembershipHistory m_members;
     LogIndex m_commitIndex;
-    std::uint64_t m_appliedBytes = 0; // Payload of the entries applied since the snapshot.
+    std::uint64_t m_appliedBytes; // Payload of the entries applied since the snapshot.
     LogIndex m_appliedIndex;
 
     RaftRole m_role = RaftRole::Follower;
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -113,6 +113,7 @@
     {
         QuorumSetup setup { "fleet", "fleet-", m_setup.self.member, {}, {} };
         setup.options.seed = randomNumber();
+        setup.options.snapshotOffset = randomNumber() % setup.options.snapshotAfterBytes;
         setup.options.heartbeatInterval = HeartbeatInterval;
         setup.options.electionTimeoutMin = ElectionTimeoutMin;
         setup.options.electionTimeoutMax = ElectionTimeoutMax;
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -431,6 +431,7 @@
     CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
     CPPUNIT_TEST(followerConfirmsThatALongMessageArrives);
     CPPUNIT_TEST(syncsOnceForManyProposals);
+    CPPUNIT_TEST(membersTakeSnapshotsAtDifferentTimes);
     CPPUNIT_TEST(failedSyncPreventsOutput);
     CPPUNIT_TEST(rejectsLogWithLaterTermThanHardState);
     CPPUNIT_TEST(ignoresMisaddressedAndMalformedMessages);
@@ -769,6 +770,29 @@
         CPPUNIT_ASSERT(ThreeVoters == single.raft->status().voters);
     }
 
+    // Guards against elections with each snapshot: a majority that waits for its disks at the same
+    // time answers no heartbeats.
+    void membersTakeSnapshotsAtDifferentTimes()
+    {
+        constexpr std::size_t CommandBytes = 500'000;
+        RaftOptions options;
+        const auto firstSnapshot = [&options](std::uint64_t offset) {
+            options.snapshotOffset = offset;
+            Cluster cluster(1, 1, options);
+            Member &leader = cluster.waitForLeader();
+            int commands = 0;
+            while (leader.raft->status().snapshotIndex == 0) {
+                ++commands;
+                cluster.propose(leader, Bytes(CommandBytes));
+                cluster.run(Cluster::Step);
+            }
+            return commands;
+        };
+        const int whole = firstSnapshot(0);
+        CPPUNIT_ASSERT_EQUAL(whole, firstSnapshot(CommandBytes - 1) + 1);
+        CPPUNIT_ASSERT(firstSnapshot(options.snapshotAfterBytes / 2) <= whole / 2 + 1);
+    }
+
     void syncsOnceForManyProposals()
     {
         FakeDisk disk;
