--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -17,7 +17,6 @@
 #include <ggv/coordination/quorum/quorum.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
-#include <ggv/transport/net/shared_secret.hpp>
 
 #include <algorithm>
 #include <set>
@@ -112,8 +111,7 @@
     QuorumSetup quorumSetup(std::uint64_t incarnation) const
     {
         QuorumSetup setup { "fleet", "fleet-", m_setup.self.member, {}, {} };
-        setup.options.seed = randomNumber();
-        setup.options.snapshotOffset = randomNumber() % setup.options.snapshotAfterBytes;
+        drawMemberOptions(setup.options);
         setup.options.heartbeatInterval = HeartbeatInterval;
         setup.options.electionTimeoutMin = ElectionTimeoutMin;
         setup.options.electionTimeoutMax = ElectionTimeoutMax;
--- a/packages/coordination/ggv/coordination/quorum/quorum.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.cpp
@@ -1,5 +1,6 @@
 #include <ggv/coordination/quorum/quorum.hpp>
 #include <ggv/state/log/event_log.hpp>
+#include <ggv/transport/net/shared_secret.hpp>
 
 #include <cstdlib>
 #include <unordered_map>
@@ -22,6 +23,12 @@
 
 } // namespace
 
+void drawMemberOptions(RaftOptions &options)
+{
+    options.seed = randomNumber();
+    options.snapshotOffset = randomNumber() % options.snapshotAfterBytes;
+}
+
 class Quorum::Implementation : public std::enable_shared_from_this<Quorum::Implementation>
 {
 public:
--- a/packages/coordination/ggv/coordination/quorum/quorum.hpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum.hpp
@@ -11,6 +11,10 @@
 
 namespace ggv {
 
+//! Draws the options that differ between the members of a quorum: the seed of the election timeouts
+//! and the time of the snapshots.
+void drawMemberOptions(RaftOptions &options);
+
 //! Parameters of a quorum member.
 struct QuorumSetup
 {
--- a/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
+++ b/packages/coordination/ggv/coordination/quorum/quorum_set.cpp
@@ -2,7 +2,6 @@
 
 #include <ggv/coordination/node/host_identity.hpp>
 #include <ggv/state/log/event_log.hpp>
-#include <ggv/transport/net/shared_secret.hpp>
 
 #include <algorithm>
 
@@ -43,7 +42,7 @@
     if (m_disk == nullptr || m_members.contains(group))
         return;
     QuorumSetup setup { group.empty() ? "control" : group, filePrefixOf(group), m_selfId, {}, {} };
-    setup.options.seed = randomNumber();
+    drawMemberOptions(setup.options);
     for (const auto &host : voters) {
         const MemberId first = memberIdOf(host, FirstIncarnation);
         m_hosts.emplace(first, host);
