Tell no state as current that has never caught up

Cause: a follower that has not caught up since its start has the earliest instant there is; now minus that overflows to a negative age, which passed for younger than a second.

Change: the decision is a pure function and compares without a subtraction. The only other such subtraction, before the first lease request of the own interface, is written the same way; it was found by reading.

--- a/packages/coordination/ggv/coordination/control/control_plane.cpp
+++ b/packages/coordination/ggv/coordination/control/control_plane.cpp
@@ -133,7 +133,7 @@
     void requestLeaseSoon()
     {
         const Instant now = monotonicNow();
-        if (now - m_leaseRequestedAt < MinLeaseInterval)
+        if (now < m_leaseRequestedAt + MinLeaseInterval)
             return;
         m_leaseTrigger.makeDue();
         if (m_leaseTrigger.tryFire(now))
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -11,6 +11,7 @@
 #include <ggv/coordination/fleet/membership_policy.hpp>
 #include <ggv/coordination/fleet/rate_limit_assignment.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
+#include <ggv/coordination/fleet/state_freshness.hpp>
 #include <ggv/coordination/fleet/target_list_poller.hpp>
 #include <ggv/coordination/fleet/target_state_relay.hpp>
 #include <ggv/coordination/node/host_identity.hpp>
@@ -31,8 +32,6 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
-//! A follower whose state may be older than this does not tell it to entry hosts as current.
-constexpr Duration MaxStateLag = std::chrono::seconds(1);
 //! A longer time between two ticks is a pause of the process.
 constexpr Duration MaxTickPause = std::chrono::milliseconds(500);
 constexpr Duration HostObservationInterval = std::chrono::milliseconds(400);
@@ -397,13 +396,9 @@
                    { "reaches_targets", host.reachesTargets } });
     }
 
-    bool followsConfirmedLeader() const
+    bool hasCurrentState() const
     {
-        const auto status = m_quorum->status();
-        if (status.role == RaftRole::Leader)
-            return m_quorum->hasLeaderLease();
-        // An entry host that was just started would act by an old state.
-        return status.leader != 0 && monotonicNow() - status.caughtUpAt <= MaxStateLag;
+        return ggv::hasCurrentState(m_quorum->status(), m_quorum->hasLeaderLease(), monotonicNow());
     }
 
     void sendFeed(Session &session)
@@ -411,7 +406,7 @@
         const Instant now = monotonicNow();
         const auto &state = m_stateMachine.state();
         FleetFeed feed;
-        feed.current = followsConfirmedLeader() && state.version > 0;
+        feed.current = hasCurrentState() && state.version > 0;
         feed.revision = state.revision;
         feed.version = state.version;
         feed.reportSentAt = session.report->sentAt;
