Refuse answers whose status is no HTTP status

What callers saw: a target's answer with status 000 as their answer, on idempotent and non-idempotent routes, through a peer too; on the own interface with the verdict "done", and again when the key was resent, because it was stored. The command line took a change for accepted that a host had answered with 000. With the header that says "not executed", 000 was believed: a non-idempotent request went to a second target.

Cause: the client takes the three digits of the status as they are. Beast accepts any digits, and no reader looked at the range; statuses of 600 and more passed as failures of the target.

Change: the client checks each head that it has parsed, interim ones too. A status outside of 100 to 599 (RFC 9110 15) is no answer, as garbage is: the connection ends, an idempotent request is sent again, any other one gets 502 (verdict unknown). What such bytes say, "not executed" included, does not hold: the target may have run the request. All readers of answers use this client: gateway, peers, own interface, target list, command line.

--- a/packages/coordination/test/gateway/peer_forwarding_test.cpp
+++ b/packages/coordination/test/gateway/peer_forwarding_test.cpp
@@ -44,6 +44,11 @@
 {
     return { answer("404", IdHeader, "none"), false, false };
 }
+ScriptedAnswer invalidStatus(const std::string &)
+{
+    return { answer("000", IdHeader + MarkerHeader, "broken"), false, false };
+}
+ScriptedAnswer ownInvalidStatus(const std::string &) { return ownAnswer("000"); }
 ScriptedAnswer leavingLoadedSuccess(const std::string &)
 {
     return { answer("200", IdHeader + MarkerHeader + "Leaving: 1\r\nLoad: 9,9,1\r\n", "whole"),
@@ -87,6 +92,9 @@
       "502", 1 },
     { "no integrity marker", answerWithoutMarker, RouteKind::NonIdempotent, "502", 1 },
     { "success without a request id", ownSuccess, RouteKind::NonIdempotent, "502", 1 },
+    { "invalid status, idempotent", invalidStatus, RouteKind::Idempotent, "200", 2 },
+    { "invalid status, non-idempotent", invalidStatus, RouteKind::NonIdempotent, "502", 1 },
+    { "invalid status without a request id", ownInvalidStatus, RouteKind::NonIdempotent, "502", 1 },
 };
 
 //! What a peer does with a request, and whether a target may have executed it then.
@@ -116,6 +124,7 @@
         { truncated, true },
         { wrongRequestId, true },
         { answerWithoutMarker, true },
+        { invalidStatus, true },
     };
     return all;
 }
--- a/packages/coordination/test/peer/peer_network_test.cpp
+++ b/packages/coordination/test/peer/peer_network_test.cpp
@@ -3,17 +3,16 @@
 #include <ggv/protocol/codec/peer_codec.hpp>
 #include <ggv/transport/net/shared_secret.hpp>
 
-#include <map>
-#include <stdexcept>
+#include <net/free_port.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
+#include <map>
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <unistd.h>
 
 namespace {
 
 using namespace ggv;
+using ggv::test::freePort;
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -22,24 +21,6 @@
 const HostName RemoteName { "there" };
 const HostName Unregistered { "stranger" };
 
-// Returns a port on which the tests can listen later. It lies below the range from which the kernel
-// takes ports for outgoing connections, so that none of these takes it in between.
-std::uint16_t freePort(asio::io_context &context)
-{
-    constexpr int FirstPort = 20'000;
-    constexpr int PortCount = 10'000;
-    static int offset = ::getpid(); // Runners that run at the same time begin elsewhere.
-    for (int n = 0; n < PortCount; ++n) {
-        const auto port = static_cast<std::uint16_t>(FirstPort + ++offset % PortCount);
-        asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
-        boost::system::error_code ec;
-        acceptor.bind({ asio::ip::address_v4::loopback(), port }, ec);
-        if (!ec)
-            return port;
-    }
-    throw std::runtime_error("no free port");
-}
-
 //! A host with the events that its network reported.
 struct Host
 {
--- a/packages/greengagevalvectl/test/api_client_test.cpp
+++ b/packages/greengagevalvectl/test/api_client_test.cpp
@@ -3,6 +3,8 @@
 #include <deque>
 #include <thread>
 
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -27,7 +29,12 @@
         , m_responses(std::move(responses))
         , m_thread([this] { serve(); })
     { }
-    ~FakeHost() { m_thread.join(); }
+    ~FakeHost()
+    {
+        // Ends the wait for connections that the tested code didn't open.
+        (void)::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        m_thread.join();
+    }
     FakeHost(const FakeHost &) = delete;
     FakeHost &operator=(const FakeHost &) = delete;
 
@@ -39,7 +46,10 @@
     {
         for (const auto &response : m_responses) {
             tcp::socket socket(m_context);
-            m_acceptor.accept(socket);
+            boost::system::error_code ec;
+            m_acceptor.accept(socket, ec);
+            if (ec)
+                return;
             std::string text;
             asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n");
             // Request bodies in these tests end with the line "end".
@@ -87,6 +97,8 @@
     CPPUNIT_TEST(reportsUnknownOutcomeAfterLostResponse);
     CPPUNIT_TEST(reportsUnknownOutcomeWithoutQuorum);
     CPPUNIT_TEST(keepsOutcomeUnknownAfterRejectedToken);
+    CPPUNIT_TEST(asksNextHostAfterInvalidStatus);
+    CPPUNIT_TEST(reportsUnknownOutcomeAfterInvalidStatus);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -169,6 +181,26 @@
         CPPUNIT_ASSERT(ResultCode::ChangeOutcomeUnknown == client.apply(Change).code);
     }
 
+    void asksNextHostAfterInvalidStatus()
+    {
+        for (const std::string status : { "000 Text", "099 Text", "600 Text", "999 Text" }) {
+            FakeHost first({ makeResponse(status, "# broken\n", "Ggv-Version: 6\r\n") });
+            FakeHost second({ makeResponse("200 OK", "# register\n", "Ggv-Version: 7\r\n") });
+            const ApiClient client({ { first.endpoint(), second.endpoint() }, "secret" });
+            CPPUNIT_ASSERT_EQUAL(RegisterVersion { 7 }, client.fetchRegister().version);
+        }
+    }
+
+    void reportsUnknownOutcomeAfterInvalidStatus()
+    {
+        for (const std::string status : { "000 Text", "099 Text", "600 Text", "999 Text" }) {
+            FakeHost host({ makeResponse(status, R"({"result":0,"version":4})") });
+            const ApiClient client({ { host.endpoint() }, "secret" });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, static_cast<int>(ResultCode::ChangeOutcomeUnknown),
+                                         static_cast<int>(client.apply(Change).code));
+        }
+    }
+
 private:
     template <typename Function>
     static ResultCode errorCodeOf(Function function)
--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -38,6 +38,10 @@
 
 constexpr beast::string_view AbsoluteScheme = "http://";
 
+//! RFC 9110 15: statuses outside of this range are invalid.
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 bool isOriginOrAsteriskForm(beast::string_view target)
 {
     return !target.empty() && (target.front() == '/' || target == "*");
@@ -111,6 +115,13 @@
     return head;
 }
 
+std::string validateAnswerHead(const BeastAnswerHead &message)
+{
+    if (message.result_int() < MinStatus || message.result_int() > MaxStatus)
+        return "status " + std::to_string(message.result_int()) + " is not valid";
+    return {};
+}
+
 HttpAnswerHead answerHeadOf(const BeastAnswerHead &message, bool toHeadRequest)
 {
     if (hasLengthAndTransferEncoding(message) || message.count(http::field::content_length) > 1)
--- a/packages/transport/ggv/transport/http/detail/beast_heads.hpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.hpp
@@ -17,6 +17,8 @@
 [[nodiscard]] std::string validateRequestHead(const BeastRequestHead &message);
 //! Converts a parsed request head.
 [[nodiscard]] HttpRequestHead requestHeadOf(const BeastRequestHead &message);
+//! @return Reason to reject a response head, for example an invalid status; empty if it is valid.
+[[nodiscard]] std::string validateAnswerHead(const BeastAnswerHead &message);
 //! Converts a parsed response head. @throws Error TargetAnswerTruncated if its lengths conflict.
 [[nodiscard]] HttpAnswerHead answerHeadOf(const BeastAnswerHead &message, bool toHeadRequest);
 //! Copies end-to-end headers, without Content-Length; the calling code sets the length.
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -237,6 +237,8 @@
             else if (ec)
                 throw refusal(ec.message());
         }
+        if (const auto reason = detail::validateAnswerHead(m_parser->get()); !reason.empty())
+            throw refusal(reason);
     }
 
     // The parser looks at a start line that comes in small pieces only when the head has ended.
--- a/packages/transport/ggv/transport/http/http_client.hpp
+++ b/packages/transport/ggv/transport/http/http_client.hpp
@@ -17,8 +17,8 @@
  * @brief A request to a peer and its response; runs on the event loop of its pool.
  *
  * Functions throw Error: PeerSilent if the operation did not complete by the deadline,
- * TargetConnectionLost if the connection failed, TargetAnswerTruncated if the response body is
- * incomplete, CallerCancelled after cancel().
+ * TargetConnectionLost if the connection failed or the peer sent no valid response head,
+ * TargetAnswerTruncated if the response body is incomplete, CallerCancelled after cancel().
  */
 class ClientExchange
 {
