Refuse answers with a transfer coding that no request asks for

What callers saw: a success whose body was not the target's. For "Transfer-Encoding: gzip", "xchunked", "chunked, gzip" and the like, the bytes up to the close, chunk headers included; for "gzip, chunked", also in two fields, the coded body without its coding. With the connection left open: 504 at the deadline, on the own interface an answer with the verdict "done" that never ended. The target list took such a page.

Cause: the parser removes the chunks and takes any other coding for a body until close. Transfer-Encoding is a field of one connection, so it was not passed on, and the caller could not know of the coding. Requests with such a coding were refused already, answers were not.

Change: one rule for both directions: one Transfer-Encoding, of the value chunked, or none (RFC 9112 6.1: a server may use another coding only if the request names it in TE, which is not forwarded). Such a head is no answer: an idempotent request is sent again, any other gets 502. The check of conflicting lengths moved from answerHeadOf() to the same place; its result is TargetConnectionLost like that of other heads.

--- a/packages/coordination/test/gateway/gateway_broken_answer_test.cpp
+++ b/packages/coordination/test/gateway/gateway_broken_answer_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(invalidStatusDoesNotShowThatNothingWasExecuted);
     CPPUNIT_TEST(invalidFieldNameDoesNotReachTheCaller);
     CPPUNIT_TEST(invalidTrailerNameDoesNotReachTheCaller);
+    CPPUNIT_TEST(unknownCodingDoesNotReachTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +51,13 @@
         requireNoAnswer(answersWithInvalidTrailerName(SoundFields));
     }
 
+    // Without its coding, the body isn't the target's.
+    void unknownCodingDoesNotReachTheCaller()
+    {
+        requireNoAnswer(answersWithUnknownCoding(SoundFields));
+        requireNoAnswer(answersWithUnknownCoding(NotRunFields));
+    }
+
 private:
     // Idempotent requests are sent to the second target, others fail without another attempt.
     static void requireNoAnswer(const std::vector<BrokenAnswer> &answers)
--- a/packages/coordination/test/node/entry_host_broken_answer_test.cpp
+++ b/packages/coordination/test/node/entry_host_broken_answer_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST_SUITE(EntryHostBrokenAnswerTest);
     CPPUNIT_TEST(invalidStatusDoesNotReachTheCaller);
     CPPUNIT_TEST(invalidFieldNameDoesNotReachTheCaller);
+    CPPUNIT_TEST(unknownCodingDoesNotReachTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +53,8 @@
 
     void invalidFieldNameDoesNotReachTheCaller() { requireNoAnswer(answersWithInvalidName("")); }
 
+    void unknownCodingDoesNotReachTheCaller() { requireNoAnswer(answersWithUnknownCoding("")); }
+
 private:
     void requireNoAnswer(const std::vector<BrokenAnswer> &answers)
     {
--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -1,7 +1,5 @@
 #include <ggv/transport/http/detail/beast_heads.hpp>
 
-#include <ggv/state/core/error.hpp>
-
 #include <charconv>
 
 namespace ggv::detail {
@@ -42,6 +40,8 @@
 constexpr unsigned MinStatus = 100;
 constexpr unsigned MaxStatus = 599;
 
+constexpr const char *OtherCoding = "Transfer-Encoding other than chunked";
+
 bool isOriginOrAsteriskForm(beast::string_view target)
 {
     return !target.empty() && (target.front() == '/' || target == "*");
@@ -78,6 +78,15 @@
         && fields.count(http::field::transfer_encoding) > 0;
 }
 
+// The parser removes the chunks of a body but no other coding.
+template <typename Fields>
+bool hasCodingOtherThanChunked(const Fields &fields)
+{
+    const auto codings = fields.count(http::field::transfer_encoding);
+    return codings > 1
+        || (codings == 1 && !beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
 } // namespace
 
 std::string validateRequestHead(const BeastRequestHead &message)
@@ -88,10 +97,8 @@
         return "more than one Content-Length";
     if (message.count(http::field::content_length) == 1 && !contentLengthOf(message))
         return "Content-Length is not one number";
-    if (message.count(http::field::transfer_encoding) > 1
-        || (message.count(http::field::transfer_encoding) == 1
-            && !beast::iequals(message[http::field::transfer_encoding], "chunked")))
-        return "Transfer-Encoding other than chunked";
+    if (hasCodingOtherThanChunked(message))
+        return OtherCoding;
     if (message.count(http::field::host) > 1)
         return "more than one Host";
     if (message.version() >= 11 && message.count(http::field::host) == 0)
@@ -119,13 +126,15 @@
 {
     if (message.result_int() < MinStatus || message.result_int() > MaxStatus)
         return "status " + std::to_string(message.result_int()) + " is not valid";
+    if (hasLengthAndTransferEncoding(message) || message.count(http::field::content_length) > 1)
+        return "conflicting lengths";
+    if (hasCodingOtherThanChunked(message))
+        return OtherCoding;
     return {};
 }
 
 HttpAnswerHead answerHeadOf(const BeastAnswerHead &message, bool toHeadRequest)
 {
-    if (hasLengthAndTransferEncoding(message) || message.count(http::field::content_length) > 1)
-        throw Error(ResultCode::TargetAnswerTruncated, "answer with conflicting lengths");
     HttpAnswerHead head;
     head.status = static_cast<std::uint16_t>(message.result_int());
     head.headers = headersOf(message);
--- a/packages/transport/ggv/transport/http/detail/beast_heads.hpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.hpp
@@ -19,7 +19,7 @@
 [[nodiscard]] HttpRequestHead requestHeadOf(const BeastRequestHead &message);
 //! @return Reason to reject a response head, for example an invalid status; empty if it is valid.
 [[nodiscard]] std::string validateAnswerHead(const BeastAnswerHead &message);
-//! Converts a parsed response head. @throws Error TargetAnswerTruncated if its lengths conflict.
+//! Converts a parsed response head that is valid.
 [[nodiscard]] HttpAnswerHead answerHeadOf(const BeastAnswerHead &message, bool toHeadRequest);
 //! Copies end-to-end headers, without Content-Length; the calling code sets the length.
 void copyHeaders(boost::beast::http::fields &fields, const HttpHeaders &headers);
--- a/packages/transport/test/http/http_client_broken_answer_test.cpp
+++ b/packages/transport/test/http/http_client_broken_answer_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(everyStatusOutsideOfTheValidRangeIsAnError);
     CPPUNIT_TEST(invalidFieldNameIsAnError);
     CPPUNIT_TEST(everyByteOfAFieldNameIsChecked);
+    CPPUNIT_TEST(unknownTransferCodingIsAnError);
+    CPPUNIT_TEST(chunkedCodingIsRecognisedInAnyCase);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +42,23 @@
         requireErrors(answersWithInvalidTrailerName(""), ResultCode::TargetAnswerTruncated);
     }
 
+    void unknownTransferCodingIsAnError()
+    {
+        requireErrors(answersWithUnknownCoding(""), ResultCode::TargetConnectionLost);
+    }
+
+    void chunkedCodingIsRecognisedInAnyCase()
+    {
+        for (const std::string coding : { "chunked", "Chunked", "CHUNKED", " chunked " }) {
+            auto pending = call({});
+            auto peer = accept("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding
+                               + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+            const auto outcome = finish(pending);
+            CPPUNIT_ASSERT_MESSAGE(coding, !outcome.fault && outcome.body == "ok");
+            m_pool.closeIdleConnections(endpoint());
+        }
+    }
+
     void everyByteOfAFieldNameIsChecked()
     {
         std::string failed;
