Refuse answers in which a line continues the one before

What callers saw: a success in whose head the name of a field began with a blank, with that line passed on as a part of the line before, or with a body that was not the target's: for " Transfer-Encoding: chunked" the chunk headers stood in the body, for " Content-Length: 5" all bytes up to the close did. With the connection left open: 504 at the deadline.

Cause: the parser unfolds such lines (obsolete line folding), so the field is not seen, and the body is read until close.

Change: the client looks for folded lines in the bytes of the head that the parser has taken, and refuses the answer. RFC 9112 5.2 lets a proxy unfold them or refuse the response with 502; unfolding is a guess whether the blank was meant.

--- a/packages/coordination/test/gateway/gateway_broken_answer_test.cpp
+++ b/packages/coordination/test/gateway/gateway_broken_answer_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(invalidStatusDoesNotShowThatNothingWasExecuted);
     CPPUNIT_TEST(invalidFieldNameDoesNotReachTheCaller);
     CPPUNIT_TEST(invalidTrailerNameDoesNotReachTheCaller);
+    CPPUNIT_TEST(foldedLineDoesNotReachTheCaller);
     CPPUNIT_TEST(unknownCodingDoesNotReachTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,12 @@
         requireNoAnswer(answersWithInvalidTrailerName(SoundFields));
     }
 
+    void foldedLineDoesNotReachTheCaller()
+    {
+        requireNoAnswer(answersWithFoldedLine(SoundFields));
+        requireNoAnswer(answersWithFoldedLine(NotRunFields));
+    }
+
     // Without its coding, the body isn't the target's.
     void unknownCodingDoesNotReachTheCaller()
     {
--- a/packages/coordination/test/node/entry_host_broken_answer_test.cpp
+++ b/packages/coordination/test/node/entry_host_broken_answer_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST_SUITE(EntryHostBrokenAnswerTest);
     CPPUNIT_TEST(invalidStatusDoesNotReachTheCaller);
     CPPUNIT_TEST(invalidFieldNameDoesNotReachTheCaller);
+    CPPUNIT_TEST(foldedLineDoesNotReachTheCaller);
     CPPUNIT_TEST(unknownCodingDoesNotReachTheCaller);
     CPPUNIT_TEST_SUITE_END();
 
@@ -53,6 +54,8 @@
 
     void invalidFieldNameDoesNotReachTheCaller() { requireNoAnswer(answersWithInvalidName("")); }
 
+    void foldedLineDoesNotReachTheCaller() { requireNoAnswer(answersWithFoldedLine("")); }
+
     void unknownCodingDoesNotReachTheCaller() { requireNoAnswer(answersWithUnknownCoding("")); }
 
 private:
--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -122,6 +122,12 @@
     return head;
 }
 
+bool hasFoldedLine(std::string_view lines) noexcept
+{
+    return lines.find("\n ") != std::string_view::npos
+        || lines.find("\n\t") != std::string_view::npos;
+}
+
 std::string validateAnswerHead(const BeastAnswerHead &message)
 {
     if (message.result_int() < MinStatus || message.result_int() > MaxStatus)
--- a/packages/transport/ggv/transport/http/http_client.cpp
+++ b/packages/transport/ggv/transport/http/http_client.cpp
@@ -252,11 +252,16 @@
 
     void parseBuffer(boost::system::error_code &ec)
     {
-        const std::size_t used = m_parser->put(m_buffer.data(), ec);
+        const auto bytes = m_buffer.cdata();
+        const std::size_t used = m_parser->put(bytes, ec);
+        const bool isFolded
+            = detail::hasFoldedLine({ static_cast<const char *>(bytes.data()), used });
         m_buffer.consume(used);
         m_headBytes += used;
         if (m_headBytes + m_buffer.size() >= MaxAnswerHeaderBytes && ec == http::error::need_more)
             ec = http::error::header_limit;
+        else if (isFolded)
+            ec = http::error::bad_field;
     }
 
     asio::awaitable<void> receive(Instant deadline)
--- a/packages/transport/test/http/broken_answers.hpp
+++ b/packages/transport/test/http/broken_answers.hpp
@@ -81,6 +81,26 @@
     return answers;
 }
 
+//! Responses in which a blank begins the name of a header field: the line continues the one before.
+//! @param fields See answersWithInvalidStatus().
+inline std::vector<BrokenAnswer> answersWithFoldedLine(const std::string &fields)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n" + fields + "A: b\r\n";
+    const std::string chunks = "\r\n5\r\nwhole\r\n0\r\n\r\n";
+    std::vector<BrokenAnswer> answers;
+    for (const std::string blank : { " ", "\t", " \t" }) {
+        const auto add = [&](const std::string &where, const std::string &bytes) {
+            answers.push_back({ "'" + printable(blank) + "' " + where, start + bytes });
+        };
+        add("before a name", blank + "X: z\r\nContent-Length: 5\r\n\r\nwhole");
+        add("before the last line", "Content-Length: 5\r\n" + blank + "X: z\r\n\r\nwhole");
+        add("before Content-Length", blank + "Content-Length: 5\r\n\r\nwhole and more");
+        add("before Transfer-Encoding", blank + "Transfer-Encoding: chunked\r\n" + chunks);
+        add("alone", blank + "\r\nContent-Length: 5\r\n\r\nwhole");
+    }
+    return answers;
+}
+
 //! Responses with a byte in the name of a trailer field that no name may hold.
 //! @param fields See answersWithInvalidStatus().
 inline std::vector<BrokenAnswer> answersWithInvalidTrailerName(const std::string &fields)
--- a/packages/transport/test/http/http_client_broken_answer_test.cpp
+++ b/packages/transport/test/http/http_client_broken_answer_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(everyStatusOutsideOfTheValidRangeIsAnError);
     CPPUNIT_TEST(invalidFieldNameIsAnError);
     CPPUNIT_TEST(everyByteOfAFieldNameIsChecked);
+    CPPUNIT_TEST(foldedLineIsAnError);
     CPPUNIT_TEST(unknownTransferCodingIsAnError);
     CPPUNIT_TEST(chunkedCodingIsRecognisedInAnyCase);
     CPPUNIT_TEST_SUITE_END();
@@ -42,6 +43,11 @@
         requireErrors(answersWithInvalidTrailerName(""), ResultCode::TargetAnswerTruncated);
     }
 
+    void foldedLineIsAnError()
+    {
+        requireErrors(answersWithFoldedLine(""), ResultCode::TargetConnectionLost);
+    }
+
     void unknownTransferCodingIsAnError()
     {
         requireErrors(answersWithUnknownCoding(""), ResultCode::TargetConnectionLost);
