--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -1,11 +1,10 @@
 #include <http/http_client_fixture.hpp>
 #include <net/endless_sender.hpp>
+#include <net/heap_bytes.hpp>
 
 #include <algorithm>
 #include <vector>
 
-#include <malloc.h>
-
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace {
@@ -33,12 +32,6 @@
     std::string pattern;
 };
 
-std::size_t heapBytes()
-{
-    const auto info = ::mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 std::string repeated(const std::string &text, std::size_t count)
 {
     std::string all;
