Keep the memory for a long response within its limit

What operators would see: a host that answers without end, or something else at its address, took up to 393 MB of the command line's memory before it was given up, three times the 128 MiB that a response may have.

Cause: the string grew by doubling, past the limit, and was copied then.

Change: its memory is a power of two, like the limit, so that it grows to the limit at most: 192 MiB while it is copied for the last time.

Also kept, as the own interface held it before: EntryHostEndlessAnswerTest::endlessAnswersTakeLittleMemory (eight requests at a time, callers that read nothing and callers that leave).

--- a/packages/coordination/test/node/entry_host_fixture.hpp
+++ b/packages/coordination/test/node/entry_host_fixture.hpp
@@ -69,13 +69,17 @@
         return isReady();
     }
 
-    //! Sends a non-idempotent request. @return The response.
-    std::string post(const std::string &key)
+    //! Sends a non-idempotent request. @return The connection.
+    RawSocket sendPost(const std::string &key)
     {
-        return call("POST /orders HTTP/1.1\r\nIdempotency-Key: " + key + "\r\n", "body");
+        return send("POST /orders HTTP/1.1\r\nIdempotency-Key: " + key + "\r\n", "body");
     }
-    //! Sends an idempotent request. @return The response.
-    std::string get() { return call("GET /x HTTP/1.1\r\n", ""); }
+    //! Sends an idempotent request. @return The connection.
+    RawSocket sendGet() { return send("GET /x HTTP/1.1\r\n", ""); }
+    //! @return Response to a non-idempotent request.
+    std::string post(const std::string &key) { return sendPost(key).readToEnd(); }
+    //! @return Response to an idempotent request.
+    std::string get() { return sendGet().readToEnd(); }
 
     std::size_t receivedRequests() const
     {
@@ -86,12 +90,12 @@
     }
 
 private:
-    std::string call(const std::string &start, const std::string &body)
+    RawSocket send(const std::string &start, const std::string &body)
     {
         auto socket = RawSocket::connect(m_callers, m_ports[0]);
         socket.send(start + "Host: shop\r\nGgv-Timeout-Ms: 2000\r\nConnection: close\r\n"
                     + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-        return socket.readToEnd();
+        return socket;
     }
 
     // Requests are served once a register is in force and the host holds a lease for the targets;
--- a/packages/greengagevalvectl/ggv/ctl/http_call.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/http_call.cpp
@@ -3,6 +3,7 @@
 #include <ggv/transport/http/http_client.hpp>
 
 #include <array>
+#include <bit>
 #include <exception>
 #include <span>
 
@@ -16,12 +17,17 @@
 
 constexpr std::size_t ChunkBytes = 16UL * 1024;
 constexpr std::size_t MaxAnswerBytes = 128UL * 1024 * 1024;
+static_assert(std::has_single_bit(MaxAnswerBytes));
 constexpr Duration IdleTimeout = std::chrono::seconds(1);
 
+// Doubles the memory as it fills up; a power of two, so that the limit is met exactly.
 void append(std::string &body, std::span<const std::uint8_t> bytes)
 {
-    if (body.size() + bytes.size() > MaxAnswerBytes)
+    const std::size_t size = body.size() + bytes.size();
+    if (size > MaxAnswerBytes)
         throw Error(ResultCode::BodyTooLarge, "the response body exceeds 128 MiB");
+    if (size > body.capacity())
+        body.reserve(std::bit_ceil(size));
     body.append(bytes.begin(), bytes.end());
 }
 
