Take no stored answer with an invalid status for a result

What callers would see: a resent key answered with status 000 and the verdict "done" for up to 24 h after the update, because hosts of an earlier version stored whatever status a target sent.

Cause: an answer that comes from the claim group was not checked, only answers that come from targets.

Change: the claim client reports such a result as unresolved, so that the caller gets "unknown"; nothing runs again. The log and the formats are unchanged, so that old and new hosts decide alike.

Evidence: ClaimClientTest::storedAnswerWithInvalidStatusIsNoResult failed before the change (status 0) and passes now; resultThatIsNotKeptStaysFinished held before.

--- a/packages/coordination/ggv/coordination/claims/claim_client.cpp
+++ b/packages/coordination/ggv/coordination/claims/claim_client.cpp
@@ -1,5 +1,7 @@
 #include <ggv/coordination/claims/claim_client.hpp>
 
+#include <ggv/state/request/http_status.hpp>
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -25,6 +27,15 @@
     return std::get_if<ClaimRequest>(&call.command);
 }
 
+// Hosts of an earlier version stored whatever status a target sent; a response with an invalid one
+// doesn't show that the request was executed.
+ClaimOutcome withoutInvalidAnswer(const ClaimOutcome &outcome)
+{
+    const auto &answer = outcome.answer;
+    const bool isInvalid = answer && answer->complete && !isValidHttpStatus(answer->status);
+    return isInvalid ? ClaimOutcome { ClaimDecision::Unresolved, {} } : outcome;
+}
+
 } // namespace
 
 class ClaimClient::Implementation
@@ -149,7 +160,7 @@
         return;
     m_seenPosition = std::max(m_seenPosition, reply.position);
     if (request != nullptr)
-        m_output.notifications.push_back({ request->claim, *outcome });
+        m_output.notifications.push_back({ request->claim, withoutInvalidAnswer(*outcome) });
     erase(call);
 }
 
--- a/packages/coordination/test/claims/claim_client_test.cpp
+++ b/packages/coordination/test/claims/claim_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -73,6 +74,8 @@
     CPPUNIT_TEST(repliesToAnotherProcessAreIgnored);
     CPPUNIT_TEST(limitsAreEnforced);
     CPPUNIT_TEST(updatesPosition);
+    CPPUNIT_TEST(storedAnswerWithInvalidStatusIsNoResult);
+    CPPUNIT_TEST(resultThatIsNotKeptStaysFinished);
     CPPUNIT_TEST(machineAppliesAndRestores);
     CPPUNIT_TEST(machineSkipsInvalidCommands);
     CPPUNIT_TEST_SUITE_END();
@@ -92,6 +95,33 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, fixture.client.pendingCalls());
     }
 
+    // Hosts of an earlier version may have stored it.
+    void storedAnswerWithInvalidStatusIsNoResult()
+    {
+        for (const int status : { 0, 1, 42, 99, 200, 404, 599, 600, 999 }) {
+            ClientFixture fixture;
+            const StoredAnswer answer { static_cast<std::uint16_t>(status), {}, {}, true };
+            const ClaimOutcome finished { ClaimDecision::Finished, answer };
+            fixture.reply(fixture.claim().id, finished, 11);
+            (void)fixture.takeCalls();
+            const bool isValid = status >= 100 && status <= 599;
+            const auto expected
+                = isValid ? finished : ClaimOutcome { ClaimDecision::Unresolved, {} };
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status),
+                                   fixture.output.notifications.front().outcome == expected);
+        }
+    }
+
+    // Its status is not kept.
+    void resultThatIsNotKeptStaysFinished()
+    {
+        ClientFixture fixture;
+        const ClaimOutcome notKept { ClaimDecision::Finished, StoredAnswer { 0, {}, {}, false } };
+        fixture.reply(fixture.claim().id, notKept, 11);
+        (void)fixture.takeCalls();
+        CPPUNIT_ASSERT(fixture.output.notifications.front().outcome == notKept);
+    }
+
     void resendsSameClaimToAnotherMember()
     {
         ClientFixture fixture;
--- a/packages/transport/ggv/transport/http/detail/beast_heads.cpp
+++ b/packages/transport/ggv/transport/http/detail/beast_heads.cpp
@@ -1,5 +1,7 @@
 #include <ggv/transport/http/detail/beast_heads.hpp>
 
+#include <ggv/state/request/http_status.hpp>
+
 #include <charconv>
 
 namespace ggv::detail {
@@ -36,10 +38,6 @@
 
 constexpr beast::string_view AbsoluteScheme = "http://";
 
-//! RFC 9110 15: statuses outside of this range are invalid.
-constexpr unsigned MinStatus = 100;
-constexpr unsigned MaxStatus = 599;
-
 constexpr const char *OtherCoding = "Transfer-Encoding other than chunked";
 
 bool isOriginOrAsteriskForm(beast::string_view target)
@@ -130,7 +128,7 @@
 
 std::string validateAnswerHead(const BeastAnswerHead &message)
 {
-    if (message.result_int() < MinStatus || message.result_int() > MaxStatus)
+    if (!isValidHttpStatus(message.result_int()))
         return "status " + std::to_string(message.result_int()) + " is not valid";
     if (hasLengthAndTransferEncoding(message) || message.count(http::field::content_length) > 1)
         return "conflicting lengths";
