Keep the ports taken that tests count as closed

Seen: PeerForwardingTest::requestsRunAtMostOnceAndRefusedOnesNever failed in a run of all tests of the coordination; on the untouched code 22 of 30 runs of PeerForwardingTest failed on this machine, in six tests.

Cause, from the log of a failed run: a "closed" peer was the port of an acceptor that was already destroyed. The kernel gave the port to the next listener, sometimes the gateway under test itself, which then forwarded the request to itself and logged several completions.

Change: the port stays bound, without a listener, as long as the test runs. Nothing else can listen there, and connecting is still refused; no check was changed.

--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -5,6 +5,7 @@
 #include <ggv/transport/net/io_pool.hpp>
 
 #include <gateway/scripted_target.hpp>
+#include <net/closed_port.hpp>
 #include <net/raw_socket.hpp>
 
 #include <chrono>
@@ -126,12 +127,7 @@
         m_targets.push_back(std::make_unique<ScriptedTarget>(m_pool.context(0), std::move(script)));
     }
 
-    void addClosedTarget()
-    {
-        boost::asio::ip::tcp::acceptor acceptor(m_pool.context(0),
-                                                { boost::asio::ip::address_v4::loopback(), 0 });
-        m_closed.push_back({ "127.0.0.1", acceptor.local_endpoint().port() });
-    }
+    void addClosedTarget() { m_closed.emplace_back(m_pool.context(0)); }
 
     // Must be called before start().
     void setAllowedRegions(std::vector<RegionName> regions)
@@ -296,7 +292,9 @@
     TargetList list() const
     {
         TargetList list;
-        std::vector<Endpoint> endpoints = m_closed;
+        std::vector<Endpoint> endpoints;
+        for (const auto &it : m_closed)
+            endpoints.push_back(it.endpoint());
         for (const auto &it : m_targets)
             endpoints.push_back(it->endpoint());
         for (std::size_t n = 0; n < endpoints.size(); ++n) {
@@ -355,7 +353,7 @@
     std::vector<std::unique_ptr<ScriptedTarget>> m_targets;
     std::vector<FailureDomainName> m_domains; //!< Failure domain of each scripted target.
     ServicePolicy m_servicePolicy;
-    std::vector<Endpoint> m_closed;
+    std::vector<ClosedPort> m_closed;
     std::vector<RegionName> m_allowedRegions;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpServer> m_peerServer;
--- a/packages/coordination/test/gateway/peer_forwarding_test.cpp
+++ b/packages/coordination/test/gateway/peer_forwarding_test.cpp
@@ -169,10 +169,8 @@
     }
     void addClosedPeer(const std::string &region)
     {
-        boost::asio::ip::tcp::acceptor acceptor(m_pool.context(0),
-                                                { boost::asio::ip::address_v4::loopback(), 0 });
-        addPeer(
-            { nextName(), { "127.0.0.1", acceptor.local_endpoint().port() }, RegionName(region) });
+        m_closed.emplace_back(m_pool.context(0));
+        addPeer({ nextName(), m_closed.back().endpoint(), RegionName(region) });
     }
     void addPeer(ForwardingPeer peer) { m_peers.push_back(std::move(peer)); }
 
@@ -205,6 +203,7 @@
 
     ggv::IoPool m_pool { 1 };
     std::vector<std::unique_ptr<ScriptedTarget>> m_scripted;
+    std::vector<ClosedPort> m_closed;
     std::vector<ForwardingPeer> m_peers;
     GatewayFixture m_gateway;
 };
