Report an unknown outcome after a response of other types

What operators would see: the command line ended with an internal error and the exit code for unreachable hosts after a change that the host may have accepted, when the result, the version, the message or the faults in the response had another type.

Cause: the JSON library's exception is no Error, so it left apply() instead of counting as a broken response, as text that is no JSON does.

Change: parseOutcome() reports it as a violation of the protocol; the next host is asked, and the outcome is unknown if none answers.

Evidence: ApiClientTest::reportsUnknownOutcomeAfterUnreadableResult failed before the change (json.exception.type_error.302) and passes now.

--- a/packages/greengagevalvectl/ggv/ctl/api_client.cpp
+++ b/packages/greengagevalvectl/ggv/ctl/api_client.cpp
@@ -65,8 +65,13 @@
 ChangeOutcome parseOutcome(const HttpAnswer &answer)
 {
     const json body = parseBody(answer);
-    return { resultCodeOf(body), body.value("version", RegisterVersion { 0 }),
-             body.value("message", std::string()), parseFaults(body) };
+    try {
+        return { resultCodeOf(body), body.value("version", RegisterVersion { 0 }),
+                 body.value("message", std::string()), parseFaults(body) };
+    } catch (const json::exception &error) {
+        throw Error(ResultCode::ProtocolViolation,
+                    std::string("the response has a member of another type: ") + error.what());
+    }
 }
 
 void addFailure(std::string &failures, const Endpoint &host, const std::string &message)
--- a/packages/greengagevalvectl/test/api_client_test.cpp
+++ b/packages/greengagevalvectl/test/api_client_test.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(keepsOutcomeUnknownAfterRejectedToken);
     CPPUNIT_TEST(asksNextHostAfterInvalidStatus);
     CPPUNIT_TEST(reportsUnknownOutcomeAfterInvalidStatus);
+    CPPUNIT_TEST(reportsUnknownOutcomeAfterUnreadableResult);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +202,19 @@
         }
     }
 
+    void reportsUnknownOutcomeAfterUnreadableResult()
+    {
+        for (const std::string body :
+             { "", "x", "[]", R"({"result":"0","version":4})", R"({"result":0,"version":"4"})",
+               R"({"result":0,"version":4,"message":5})",
+               R"({"result":201,"version":4,"faults":[7]})" }) {
+            FakeHost host({ makeResponse("200 OK", body) });
+            const ApiClient client({ { host.endpoint() }, "secret" });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, static_cast<int>(ResultCode::ChangeOutcomeUnknown),
+                                         static_cast<int>(client.apply(Change).code));
+        }
+    }
+
 private:
     template <typename Function>
     static ResultCode errorCodeOf(Function function)
