Share the responses without end between the tests of their readers

Cause: three new tests and an older one each had the same type, and three the same cases (seen with the list of duplicates). Change: one header for them; each reader now meets all cases. The refusal that the own interface gets now carries the header that makes it one; a call of the command line in the test ends after 5 s, for slow chunks.

--- a/packages/coordination/test/node/entry_host_endless_answer_test.cpp
+++ b/packages/coordination/test/node/entry_host_endless_answer_test.cpp
@@ -1,3 +1,4 @@
+#include <http/endless_answers.hpp>
 #include <net/heap_bytes.hpp>
 #include <node/entry_host_fixture.hpp>
 
@@ -16,28 +17,6 @@
 constexpr std::size_t MaxHeapGrowthPerRequest = 4UL * 1024 * 1024;
 constexpr std::size_t Callers = 4;
 
-const std::string Success = "HTTP/1.1 200 OK\r\n";
-const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
-
-//! A response that goes on without end.
-struct EndlessCase
-{
-    const char *name;
-    std::string start;
-    std::string pattern;
-};
-
-const EndlessCase EndlessCases[] = {
-    { "letters", "", "x" },
-    { "header lines", Success, "A: x\r\n" },
-    { "invalid status", "HTTP/1.1 000 Text\r\n\r\n", "x" },
-    { "refusal", "HTTP/1.1 503 Full\r\nGgv-Verdict: not run\r\n\r\n", "x" },
-    { "body until close", Success + "\r\n", "x" },
-    { "giant length", Success + "Content-Length: 1152921504606846976\r\n\r\n", "x" },
-    { "chunks", Success + Chunked, "4\r\nxxxx\r\n" },
-    { "chunk extension", Success + Chunked + "1;a=", "x" },
-};
-
 class EntryHostEndlessAnswerTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(EntryHostEndlessAnswerTest);
@@ -50,7 +29,7 @@
     void endlessAnswersTakeLittleMemory()
     {
         const auto script = [this](const std::string &) {
-            const EndlessCase *it = m_case;
+            const EndlessAnswer *it = m_answer;
             return it == nullptr ? ScriptedAnswer { SoundAnswer, false, false }
                                  : ScriptedAnswer { it->start, false, false, it->pattern };
         };
@@ -58,7 +37,10 @@
             m_host.addTarget(script);
         CPPUNIT_ASSERT(m_host.start());
         std::string failed;
-        for (const auto &it : EndlessCases)
+        auto answers = endlessAnswers();
+        answers.push_back(
+            { "refusal", "HTTP/1.1 503 Full\r\nGgv-Not-Executed: true\r\n\r\n", "x" });
+        for (const auto &it : answers)
             failed += difference(it);
         CPPUNIT_ASSERT_EQUAL(std::string(), failed);
     }
@@ -66,10 +48,10 @@
 private:
     static constexpr const char *SoundAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
 
-    std::string difference(const EndlessCase &it)
+    std::string difference(const EndlessAnswer &it)
     {
         const std::size_t before = heapBytes();
-        m_case = &it;
+        m_answer = &it;
         std::vector<RawSocket> callers;
         for (std::size_t n = 0; n < Callers; ++n) {
             callers.push_back(m_host.sendGet());
@@ -78,10 +60,10 @@
         std::size_t most = watchHeap(before, milliseconds(300));
         callers.erase(callers.begin() + Callers, callers.end());
         most = watchHeap(most, milliseconds(300));
-        m_case = nullptr;
+        m_answer = nullptr;
         if (most - before < 2 * Callers * MaxHeapGrowthPerRequest)
             return {};
-        return std::string(it.name) + ": " + std::to_string((most - before) / 1024) + " KiB\n";
+        return it.name + ": " + std::to_string((most - before) / 1024) + " KiB\n";
     }
 
     static std::size_t watchHeap(std::size_t most, milliseconds time)
@@ -94,7 +76,7 @@
         return most;
     }
 
-    std::atomic<const EndlessCase *> m_case = nullptr; //!< What targets send; sound if null.
+    std::atomic<const EndlessAnswer *> m_answer = nullptr; //!< What targets send; sound if null.
     EntryHostFixture m_host;
     int m_keys = 0;
 };
--- a/packages/greengagevalvectl/test/http_call_test.cpp
+++ b/packages/greengagevalvectl/test/http_call_test.cpp
@@ -1,6 +1,7 @@
 #include <ggv/ctl/http_call.hpp>
 #include <ggv/state/core/error.hpp>
 
+#include <http/endless_answers.hpp>
 #include <net/endless_sender.hpp>
 #include <net/heap_bytes.hpp>
 
@@ -23,27 +24,8 @@
 //! Twice the longest response that is accepted: a string is copied when it grows.
 constexpr std::size_t MaxHeapGrowth = 256UL * 1024 * 1024;
 
-const std::string Success = "HTTP/1.1 200 OK\r\n";
-const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
-
-//! A response that goes on without end.
-struct EndlessCase
-{
-    const char *name;
-    std::string start;
-    std::string pattern;
-};
-
-const EndlessCase EndlessCases[] = {
-    { "letters", "", "x" },
-    { "status line", "HTTP/1.1 200 O", "K" },
-    { "header lines", Success, "A: x\r\n" },
-    { "invalid status", "HTTP/1.1 000 Text\r\n\r\n", "x" },
-    { "body until close", Success + "\r\n", "x" },
-    { "giant length", Success + "Content-Length: 1152921504606846976\r\n\r\n", "x" },
-    { "chunks", Success + Chunked, "1000\r\n" + std::string(0x1000, 'x') + "\r\n" },
-    { "chunk extension", Success + Chunked + "1;a=", "x" },
-};
+//! Ends calls whose responses are too slow to reach the limit on their size.
+constexpr Duration CallTimeout = std::chrono::seconds(5);
 
 class HttpCallTest : public CppUnit::TestFixture
 {
@@ -55,14 +37,14 @@
     void endlessResponseIsAnErrorOfBoundedMemory()
     {
         std::string failed;
-        for (const auto &it : EndlessCases)
+        for (const auto &it : endlessAnswers())
             failed += difference(it);
         CPPUNIT_ASSERT_EQUAL(std::string(), failed);
     }
 
 private:
     // Returns an empty text if the call fails in time and takes no more memory than it may.
-    static std::string difference(const EndlessCase &it)
+    static std::string difference(const EndlessAnswer &it)
     {
         boost::asio::io_context context;
         tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
@@ -85,7 +67,7 @@
         }
         if (hasFailed && most - before < MaxHeapGrowth)
             return {};
-        return std::string(it.name) + ": " + std::to_string((most - before) / 1024) + " KiB, "
+        return it.name + ": " + std::to_string((most - before) / 1024) + " KiB, "
             + (hasFailed ? "failed\n" : "accepted\n");
     }
 
@@ -95,7 +77,7 @@
         call.head.method = "GET";
         call.head.target = "/v1/register";
         try {
-            (void)callHttp(peer, call, std::chrono::seconds(WaitSeconds));
+            (void)callHttp(peer, call, CallTimeout);
         } catch (const Error &) {
             return true;
         }
--- a/packages/transport/test/http/http_client_endless_test.cpp
+++ b/packages/transport/test/http/http_client_endless_test.cpp
@@ -1,3 +1,4 @@
+#include <http/endless_answers.hpp>
 #include <http/http_client_fixture.hpp>
 #include <net/endless_sender.hpp>
 #include <net/heap_bytes.hpp>
@@ -24,14 +25,6 @@
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string InterimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
 
-//! A response that goes on without end.
-struct EndlessAnswer
-{
-    const char *name;
-    std::string start;
-    std::string pattern;
-};
-
 std::string repeated(const std::string &text, std::size_t count)
 {
     std::string all;
@@ -276,7 +269,7 @@
             && sender.waitForClose() && m_pool.idle(endpoint()) == 0;
         if (isRefused)
             return {};
-        return std::string(answer.name) + ": " + std::string(resultCodeName(fault)) + ", "
+        return answer.name + ": " + std::string(resultCodeName(fault)) + ", "
             + std::to_string(heapGrowth) + " bytes of heap, " + std::to_string(sent)
             + " bytes sent\n";
     }
