--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,7 @@
-// A new core machine is lost for good a quarter of a second after its start. From then on the
-// leader removes no lost machine from the quorum, so that later losses, each within the limits,
-// leave it without a majority although as many machines run as at the start.
+// A core machine is removed for good while another one is frozen. When that one wakes, it reports
+// the removed machine as alive, and the leader adds it to the quorum again, as a learner that never
+// catches up. From then on no lost machine is removed from the quorum, so that later losses, each
+// within the limits, leave it without a majority although as many machines run as at the start.
 
 #include "../harness_2.hpp"
 
@@ -15,8 +16,9 @@
 constexpr double AckTimeout = 4.0;
 //! Between the loss of a machine and the start of its successor.
 constexpr double ReplaceDelay = 1.0;
-//! Between the start of the first successor and its loss.
-constexpr double EarlyLoss = 0.25;
+constexpr double FreezeTime = 4.0;
+//! Between the freeze of one machine and the removal of another.
+constexpr double FreezeLead = 0.6;
 
 class Case
 {
@@ -95,14 +97,18 @@
         }
     }
 
-    // Replaces the machine, and waits until the new one no longer counts as lost.
-    void replace(std::vector<int> lost)
+    void replace(const std::vector<int> &lost)
     {
         for (const int number : lost)
             remove(number);
         sleepFor(ReplaceDelay);
         for (std::size_t n = 0; n < lost.size(); ++n)
             add(false);
+    }
+
+    // Waits until no machine counts as lost and all are in touch.
+    void settle()
+    {
         sleepFor(CatchUp + Contact);
         recordVoters();
     }
@@ -110,18 +116,22 @@
     void replaceMachines()
     {
         recordVoters();
-        remove(6);
-        sleepFor(ReplaceDelay);
-        add(false);
         if (m_hasTrouble) {
-            sleepFor(EarlyLoss);
-            replace({ 7 });
-        } else {
-            sleepFor(CatchUp + Contact);
-            recordVoters();
+            machine(5).signal(SIGSTOP);
+            m_record.line("core-5 freezes");
+        }
+        sleepFor(FreezeLead);
+        replace({ 6 });
+        sleepFor(FreezeTime - FreezeLead - ReplaceDelay);
+        if (m_hasTrouble) {
+            machine(5).signal(SIGCONT);
+            m_record.line("core-5 wakes");
         }
-        replace({ 5 });
-        replace({ 4, 3 });
+        settle();
+        replace({ 4, 5 });
+        settle();
+        replace({ 7, 8 });
+        settle();
     }
 
     int judge(const std::string &first)
