Extract the timing of membership steps from the control host

Cause: the control host decides when a membership step is due among 660 lines of sessions and feeds, so that this could not be tested without a socket; and its logs and metrics do not tell lost voters from learners that do not catch up.

Change: MembershipReconciler holds the present leader's time and the interval of the steps, pure. The metrics gain ggv_control_learners and ggv_control_members_in_contact, membership-step lines the number of voters and learners before the step. No decision changes.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -8,7 +8,7 @@
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/coordination/fleet/fleet_state_machine.hpp>
 #include <ggv/coordination/fleet/forwarding_peers.hpp>
-#include <ggv/coordination/fleet/membership_policy.hpp>
+#include <ggv/coordination/fleet/membership_reconciler.hpp>
 #include <ggv/coordination/fleet/rate_limit_assignment.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
 #include <ggv/coordination/fleet/state_freshness.hpp>
@@ -32,8 +32,6 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
-//! A longer time between two ticks is a pause of the process.
-constexpr Duration MaxTickPause = std::chrono::milliseconds(500);
 constexpr Duration HostObservationInterval = std::chrono::milliseconds(400);
 constexpr Duration HeartbeatInterval = std::chrono::milliseconds(80);
 constexpr Duration ElectionTimeoutMin = std::chrono::milliseconds(300);
@@ -50,6 +48,13 @@
     Delivery list; //!< Target list, by digest.
 };
 
+//! Number of members of the quorum.
+struct MembershipSize
+{
+    std::size_t voters = 0;
+    std::size_t learners = 0;
+};
+
 } // namespace
 
 class ControlHost::Implementation : public std::enable_shared_from_this<Implementation>
@@ -62,6 +67,7 @@
         , m_timer(context)
         , m_stateMachine([this] { onStateChanged(); })
         , m_mesh(context, [this](const Endpoint &peer) { sendInitialReports(peer); })
+        , m_reconciler(m_setup.toleratedFailures)
     { }
 
     void start()
@@ -137,8 +143,6 @@
             sendHostObservations(now);
         }
         forwardStateReports(now);
-        updateKnownLeader(now);
-        m_tickedAt = now;
         reconcileMembers(now);
         m_timer.expires_after(TickInterval);
         m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
@@ -482,41 +486,43 @@
         }
     }
 
-    void updateKnownLeader(Instant now)
-    {
-        const auto status = m_quorum->status();
-        // A paused process has missed the reports of all others.
-        const bool wasPaused = now - m_tickedAt > MaxTickPause;
-        if (status.leader == m_knownLeader && !wasPaused)
-            return;
-        m_knownLeader = status.leader;
-        m_leaderSince = now;
-    }
-
     void reconcileMembers(Instant now)
     {
+        auto status = m_quorum->status();
+        m_reconciler.observeLeader(status.leader, now);
         if (!m_quorum->hasLeaderLease())
             return;
-        const auto step = nextMembershipStep({ m_quorum->status(), m_stateMachine.state().members,
-                                               m_directory.observations(now), now - m_leaderSince,
-                                               m_setup.toleratedFailures });
-        if (!step || now - m_memberStepAt < MembershipStepInterval)
+        const MembershipSize size { status.voters.size(), status.learners.size() };
+        const auto step = m_reconciler.nextStep(std::move(status), m_stateMachine.state().members,
+                                                m_directory.observations(now), now);
+        if (!step)
             return;
-        m_memberStepAt = now;
+        logMembershipStep(*step, size);
+        carryOut(*step);
+    }
+
+    static void logMembershipStep(const MembershipStep &step, const MembershipSize &size)
+    {
         logEvent(LogLevel::Info, "membership-step",
-                 { { "step", membershipStepName(step->kind) },
-                   { "member", step->member },
-                   { "address", step->internal.address } });
-        switch (step->kind) {
+                 { { "step", membershipStepName(step.kind) },
+                   { "member", step.member },
+                   { "address", step.internal.address },
+                   { "voters", size.voters },
+                   { "learners", size.learners } });
+    }
+
+    void carryOut(const MembershipStep &step)
+    {
+        switch (step.kind) {
         case MembershipStepKind::Register:
-            m_quorum->propose(encodeFleetCommand(RegisterMember { step->member, step->internal }),
+            m_quorum->propose(encodeFleetCommand(RegisterMember { step.member, step.internal }),
                               [](const Completion &) {});
             break;
         case MembershipStepKind::Add:
-            m_quorum->addMember(step->member);
+            m_quorum->addMember(step.member);
             break;
         case MembershipStepKind::Remove:
-            m_quorum->removeMember(step->member);
+            m_quorum->removeMember(step.member);
             break;
         }
     }
@@ -531,6 +537,8 @@
         gauges.term = status.term;
         gauges.isStorageFull = m_quorum->isSuspended();
         gauges.voters = status.voters.size();
+        gauges.learners = status.learners.size();
+        gauges.membersInContact = status.inContact.size();
         gauges.commitIndex = status.commitIndex;
         gauges.entryHosts = m_directory.alive(HostRole::Entry, now).size();
         gauges.listAge = m_list->age(now);
@@ -568,6 +576,7 @@
     FleetStateMachine m_stateMachine;
     FleetDirectory m_directory;
     FleetMesh m_mesh;
+    MembershipReconciler m_reconciler;
     std::unique_ptr<Quorum> m_quorum;
     std::unique_ptr<FrameListener> m_listener;
     std::map<std::uint64_t, Session> m_sessions;
@@ -582,10 +591,6 @@
     std::uint64_t m_listBytes = 0; //!< Sent to entry hosts since the start.
     std::uint64_t m_completeLists = 0; //!< Sent to entry hosts since the start.
     Instant m_hostObservationsSentAt = Instant(Duration(0));
-    Instant m_leaderSince {};
-    Instant m_tickedAt {};
-    Instant m_memberStepAt = Instant(Duration(0));
-    MemberId m_knownLeader = 0;
     bool m_started = false;
     bool m_feedPending = false;
 };
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.cpp
@@ -30,6 +30,10 @@
     add("ggv_control_storage_full", "1 while the disk is full and this host does not vote",
         gauges.isStorageFull ? 1 : 0);
     add("ggv_control_voters", "Voters of the quorum", static_cast<double>(gauges.voters));
+    add("ggv_control_learners", "Members that are not voters yet",
+        static_cast<double>(gauges.learners));
+    add("ggv_control_members_in_contact", "Members that this leader has recently heard",
+        static_cast<double>(gauges.membersInContact));
     add("ggv_control_commit_index", "Last committed entry",
         static_cast<double>(gauges.commitIndex));
     add("ggv_control_entry_hosts", "Entry hosts that are alive",
--- a/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_metrics.hpp
@@ -25,6 +25,8 @@
     std::uint64_t term = 0;
     bool isStorageFull = false; //!< True while the disk is full and this host does not vote.
     std::size_t voters = 0;
+    std::size_t learners = 0;
+    std::size_t membersInContact = 0; //!< That the leader has recently heard; 0 on other hosts.
     std::uint64_t commitIndex = 0;
     std::size_t entryHosts = 0; //!< Number of live entry hosts.
     Duration listAge { 0 }; //!< Time since the target list was read.
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -41,8 +41,6 @@
 inline constexpr Duration MemberSilenceTimeout = std::chrono::seconds(3);
 //! Time in which a new leader receives the reports of all members.
 inline constexpr Duration LeaderSettlingTime = std::chrono::seconds(1);
-//! Minimum time between two steps.
-inline constexpr Duration MembershipStepInterval = std::chrono::milliseconds(300);
 
 /**
  * @brief Computes the next step that aligns the quorum's membership with the live control hosts.
