Remove lost learners, and lost voters beside learners

Callers saw: after a few replacements of control hosts, each within two lost hosts at once, six control hosts ran and answered every read and every order with 503 for good.

Cause: nextMembershipStep() returned without a removal while there was any learner, and removed only voters. A learner that is gone for good stayed a learner for ever, and from then on each lost host stayed a voter, until a loss within the limits left no majority of 8 or 10 voters. A learner that is alive but never catches up had the same effect.

Change: a learner is removed once it has been silent for as long as a lost voter; learners delay no removal of a voter. This is safe: the removal of a lost voter never raises the number of voters needed, is accepted by a majority of those that remain, and leaves 2 x tolerated failures + 1.

--- a/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
@@ -66,6 +66,31 @@
     return silence > MemberSilenceTimeout;
 }
 
+// A learner that is catching up, or never does, delays no removal: a lost voter counts for the
+// majority until it is removed.
+std::optional<MemberId> findRemovableVoter(const MembershipPolicyInput &input)
+{
+    const auto &voters = input.status.voters;
+    const bool surplus = voters.size() > 2 * std::size_t { input.toleratedFailures } + 1;
+    const auto it = std::find_if(voters.begin(), voters.end(), [&](MemberId member) {
+        return isReplaced(input, member) || (surplus && isSilent(input, member));
+    });
+    return it == voters.end() ? std::nullopt : std::optional(*it);
+}
+
+std::optional<MemberId> findSilentLearner(const MembershipPolicyInput &input)
+{
+    const auto &learners = input.status.learners;
+    const auto it = std::find_if(learners.begin(), learners.end(),
+                                 [&](MemberId member) { return isSilent(input, member); });
+    return it == learners.end() ? std::nullopt : std::optional(*it);
+}
+
+MembershipStep removalOf(const MembershipPolicyInput &input, MemberId member)
+{
+    return { MembershipStepKind::Remove, member, addressOf(input, member) };
+}
+
 } // namespace
 
 std::optional<MembershipStep> nextMembershipStep(const MembershipPolicyInput &input)
@@ -76,15 +101,10 @@
         if (auto step = nextAdmissionStep(input, it.host))
             return step;
     }
-    // No member is removed while a learner is catching up.
-    if (!input.status.learners.empty())
-        return std::nullopt;
-    const std::size_t needed = 2 * input.toleratedFailures + 1;
-    for (const MemberId member : input.status.voters) {
-        const bool surplus = input.status.voters.size() > needed;
-        if (isReplaced(input, member) || (surplus && isSilent(input, member)))
-            return MembershipStep { MembershipStepKind::Remove, member, addressOf(input, member) };
-    }
+    if (const auto member = findRemovableVoter(input))
+        return removalOf(input, *member);
+    if (const auto member = findSilentLearner(input))
+        return removalOf(input, *member);
     return std::nullopt;
 }
 
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -47,7 +47,7 @@
  *
  * Every live control host becomes a voter. A voter is removed once its address reports under
  * another member id that is a voter, or after MemberSilenceTimeout if enough voters remain to
- * tolerate the configured number of failures.
+ * tolerate the configured number of failures. A learner is removed after MemberSilenceTimeout.
  * @param input Input of the decision.
  * @return The next step, or std::nullopt if no change is needed.
  */
