Add and keep members on their own reports only

Cause: a host was added on what any other host had seen of it, and a voter was kept on that too, beside the leader's own contact. A host that wakes from a freeze reads old messages, and tells all others that a removed host was just seen; the leader added it again.

Change: FleetDirectory keeps a host's own last report apart from what others relay, and the membership decision is given only the former. Relayed observations still let hosts find each other.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -155,7 +155,7 @@
     void observeSelf()
     {
         m_setup.self.ready = true;
-        (void)m_directory.observe({ m_setup.self, Duration(0) }, monotonicNow());
+        (void)m_directory.observeReport(m_setup.self, monotonicNow());
     }
 
     // Heartbeats wait behind a large configuration or snapshot on the same connection.
@@ -304,7 +304,7 @@
     {
         const Instant now = monotonicNow();
         session.report = report;
-        if (m_directory.observe({ report.host, Duration(0) }, now))
+        if (m_directory.observeReport(report.host, now))
             onHostChanged(report.host);
         session.configuration.onReport(report.version, now);
         session.list.onReport(report.listDigest, now);
@@ -317,7 +317,7 @@
     void handle(Session &, const HostObservationReport &report)
     {
         for (const auto &it : report.hosts) {
-            if (it.host.name != m_setup.self.name && m_directory.observe(it, monotonicNow()))
+            if (it.host.name != m_setup.self.name && m_directory.observeRelayed(it, monotonicNow()))
                 logHostSeen(it.host);
         }
     }
@@ -494,7 +494,7 @@
             return;
         const MembershipSize size { status.voters.size(), status.learners.size() };
         const auto step = m_reconciler.nextStep(std::move(status), m_stateMachine.state().members,
-                                                m_directory.observations(now), now);
+                                                m_directory.reportingHosts(now), now);
         if (!step)
             return;
         logMembershipStep(*step, size);
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
@@ -13,6 +13,7 @@
  * relayed by control hosts.
  *
  * Does no I/O; callers supply the time. Of two observations of a host the later one takes effect.
+ * What other hosts relay finds hosts and entry hosts for look-ups; it is no evidence of contact.
  */
 class FleetDirectory
 {
@@ -27,27 +28,41 @@
     //! control hosts would make a lost host appear to have been seen later.
     static constexpr Duration MinRelayedGain = std::chrono::milliseconds(250);
 
-    //! Records an observation; one without an age is the host's own report. @return True if the
-    //! host is new or its announcement has changed.
-    bool observe(const HostObservation &observation, Instant now);
+    //! Records a report of the host itself. @param sentAt Earliest time at which it was sent.
+    //! @return True if the host is new or its announcement has changed.
+    bool observeReport(const HostAnnouncement &host, Instant sentAt);
+    //! Records what another host observed. @param sentAt Earliest time at which that was sent.
+    //! @return True if the host is new or its announcement has changed.
+    bool observeRelayed(const HostObservation &observation, Instant sentAt);
     //! @return Live hosts with the given role, ordered by name.
     [[nodiscard]] std::vector<HostAnnouncement> alive(HostRole role, Instant now) const;
     //! @return All retained hosts with the given role, alive or not, ordered by name.
     [[nodiscard]] std::vector<HostAnnouncement> known(HostRole role) const;
-    //! @return All retained hosts with the time since they were last seen.
+    //! @return All retained hosts with the time since they were last seen by any host.
     [[nodiscard]] std::vector<HostObservation> observations(Instant now) const;
+    //! @return Retained hosts that reported to this host itself, with the time since then.
+    [[nodiscard]] std::vector<HostObservation> reportingHosts(Instant now) const;
     //! @return The retained host with that member id, or std::nullopt.
     [[nodiscard]] std::optional<HostObservation> findMember(MemberId member, Instant now) const;
     //! Removes hosts that were not seen for RetentionTime.
     void expire(Instant now);
 
 private:
-    struct Entry
+    //! An announcement and the last time at which its host was seen.
+    struct Sighting
     {
         HostAnnouncement host;
-        Instant lastSeenAt {};
+        Instant at {};
+    };
+
+    struct Entry
+    {
+        Sighting latest;
+        std::optional<Sighting> report; //!< The host's own latest report.
     };
 
+    static bool update(Sighting &latest, const Sighting &sighting, Duration minGain);
+
     std::map<HostName, Entry> m_hosts;
 };
 
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -31,6 +31,8 @@
 {
     RaftStatus status;
     std::vector<RegisterMember> registered;
+    //! Hosts that report to this host itself. What other hosts relay may be late: neither adds nor
+    //! keeps a member.
     std::vector<HostObservation> hosts;
     Duration timeAsLeader { 0 }; //!< Without a pause of the process.
     std::uint32_t toleratedFailures = 1;
--- a/packages/coordination/ggv/coordination/fleet/membership_reconciler.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_reconciler.hpp
@@ -30,7 +30,7 @@
      * @brief Computes the next step; only the leader may carry it out.
      * @param status Status of the leader's member.
      * @param registered Addresses in the replicated state.
-     * @param hosts Known hosts, as in MembershipPolicyInput.
+     * @param hosts Hosts that report to this host itself.
      * @param now The current time.
      * @return The step, or std::nullopt if none is needed or the last one was too recent.
      */
--- a/packages/coordination/test/fleet/control_host_test.cpp
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -131,6 +131,7 @@
     CPPUNIT_TEST(onlyHostWithoutTargetsGetsForwardingPeers);
     CPPUNIT_TEST(changedReachOfTargetsIsToldToOtherControlHostsAtOnce);
     CPPUNIT_TEST(statedRateLimitIsDividedAmongEntryHosts);
+    CPPUNIT_TEST(hostThatOnlyOthersHaveSeenIsNotAdded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -226,9 +227,31 @@
         }
     }
 
+    // Guards against a removed host that a late observation of another host brings back.
+    void hostThatOnlyOthersHaveSeenIsNotAdded()
+    {
+        runUntil([&] { return m_host->isConfirmedLeader(); });
+        const EntrySession session = openSession("entry-1");
+        const ggv::HostAnnouncement lost = sampleHost(ggv::HostRole::Control);
+        const ggv::HostObservationReport relayed { { { lost, Duration(0) } } };
+        for (int n = 0; n < 15; ++n) {
+            session.connection->send(ggv::encodeFleetMessage(relayed));
+            m_context.run_for(milliseconds(100));
+        }
+        CPPUNIT_ASSERT(!hasMetric("ggv_control_learners 1"));
+        session.connection->send(ggv::encodeFleetMessage(ggv::HostReport { lost, 0, 0 }));
+        runUntil([&] { return hasMetric("ggv_control_learners 1"); });
+        CPPUNIT_ASSERT(hasMetric("ggv_control_learners 1"));
+    }
+
 private:
     using HostNames = std::vector<std::string>;
 
+    bool hasMetric(const std::string &line) const
+    {
+        return m_host->metricsText().find("\n" + line + "\n") != std::string::npos;
+    }
+
     struct EntrySession
     {
         ggv::HostAnnouncement host;
--- a/packages/coordination/test/fleet/fleet_directory_test.cpp
+++ b/packages/coordination/test/fleet/fleet_directory_test.cpp
@@ -7,20 +7,18 @@
 
 using ggv::Duration;
 using ggv::FleetDirectory;
-using ggv::HostObservation;
 using ggv::HostRole;
 using ggv::Instant;
 using ggv::SharedTargetList;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-HostObservation entryHost(const char *name, Duration age, bool ready = true)
+ggv::HostAnnouncement entryHost(const char *name, bool ready = true)
 {
-    HostObservation observation;
-    observation.host.name = ggv::HostName(name);
-    observation.host.ready = ready;
-    observation.age = age;
-    return observation;
+    ggv::HostAnnouncement host;
+    host.name = ggv::HostName(name);
+    host.ready = ready;
+    return host;
 }
 
 std::vector<ggv::ListedTarget> targets(std::uint32_t slots)
@@ -37,6 +35,7 @@
     CPPUNIT_TEST(hostIsAliveUntilLivenessTimeout);
     CPPUNIT_TEST(olderObservationIsIgnored);
     CPPUNIT_TEST(exchangesDoNotMoveTheLastSightOn);
+    CPPUNIT_TEST(relayedObservationIsNoReport);
     CPPUNIT_TEST(silentHostIsRemovedAfterRetentionTime);
     CPPUNIT_TEST(laterListReadingIsApplied);
     CPPUNIT_TEST(reportOmitsListHeldByReceiver);
@@ -46,8 +45,8 @@
     void hostIsAliveUntilLivenessTimeout()
     {
         FleetDirectory directory;
-        CPPUNIT_ASSERT(directory.observe(entryHost("a", Duration(0)), m_now));
-        CPPUNIT_ASSERT(!directory.observe(entryHost("a", Duration(0)), m_now));
+        CPPUNIT_ASSERT(directory.observeReport(entryHost("a"), m_now));
+        CPPUNIT_ASSERT(!directory.observeReport(entryHost("a"), m_now));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.alive(HostRole::Entry, m_now).size());
         CPPUNIT_ASSERT(directory.alive(HostRole::Control, m_now).empty());
         CPPUNIT_ASSERT(directory.alive(HostRole::Entry, m_now + seconds(2)).empty());
@@ -62,14 +61,14 @@
         constexpr seconds Silence { 3 };
         FleetDirectory one;
         FleetDirectory other;
-        (void)one.observe(entryHost("a", Duration(0)), m_now);
-        (void)other.observe(entryHost("a", Duration(0)), m_now);
+        (void)one.observeReport(entryHost("a"), m_now);
+        (void)other.observeReport(entryHost("a"), m_now);
         const Instant end = m_now + Silence;
         for (Instant now = m_now + Interval; now < end; now += Interval) {
             const auto fromOne = one.observations(now - LinkDelay).front();
             const auto fromOther = other.observations(now - LinkDelay).front();
-            (void)one.observe(fromOther, now);
-            (void)other.observe(fromOne, now);
+            (void)one.observeRelayed(fromOther, now);
+            (void)other.observeRelayed(fromOne, now);
         }
         const Duration believed = one.observations(end).front().age;
         CPPUNIT_ASSERT(believed + FleetDirectory::MinRelayedGain >= Silence);
@@ -78,16 +77,31 @@
     void olderObservationIsIgnored()
     {
         FleetDirectory directory;
-        (void)directory.observe(entryHost("a", Duration(0), false), m_now);
-        CPPUNIT_ASSERT(!directory.observe(entryHost("a", seconds(1), true), m_now));
+        (void)directory.observeReport(entryHost("a", false), m_now);
+        CPPUNIT_ASSERT(!directory.observeRelayed({ entryHost("a", true), seconds(1) }, m_now));
         CPPUNIT_ASSERT(!directory.alive(HostRole::Entry, m_now).front().ready);
         CPPUNIT_ASSERT(directory.alive(HostRole::Entry, m_now + milliseconds(1400)).size() == 1);
     }
 
+    // Guards against a lost host that seems to be in contact because another host has seen it.
+    void relayedObservationIsNoReport()
+    {
+        FleetDirectory directory;
+        (void)directory.observeRelayed({ entryHost("a"), Duration(0) }, m_now);
+        CPPUNIT_ASSERT(directory.reportingHosts(m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.alive(HostRole::Entry, m_now).size());
+        (void)directory.observeReport(entryHost("a", false), m_now);
+        (void)directory.observeRelayed({ entryHost("a"), Duration(0) }, m_now + seconds(4));
+        const auto hosts = directory.reportingHosts(m_now + seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, hosts.size());
+        CPPUNIT_ASSERT(hosts.front().host == entryHost("a", false));
+        CPPUNIT_ASSERT(hosts.front().age == Duration(seconds(5)));
+    }
+
     void silentHostIsRemovedAfterRetentionTime()
     {
         FleetDirectory directory;
-        (void)directory.observe(entryHost("a", Duration(0)), m_now);
+        (void)directory.observeReport(entryHost("a"), m_now);
         directory.expire(m_now + seconds(30));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, directory.observations(m_now).size());
         directory.expire(m_now + seconds(61));
