Date messages that are read after a pause by its beginning

Cause: every message that carries an age, or stands for "seen now", was dated from the moment of reading. A process that was stopped, or waited for its disk, reads the messages of that time late, also on connections that were opened meanwhile.

Change: PauseDetector notices a time of over 0.5 s without an event. What is read in the first 0.3 s after it is dated by the beginning of the pause: host reports, relayed observations, target lists, target states, and the time at which a follower had caught up with its leader. The reconciler takes the end of the pause from it too, in place of a detection of its own. Ages only grow by this; the formats are unchanged.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -9,6 +9,7 @@
 #include <ggv/coordination/fleet/fleet_state_machine.hpp>
 #include <ggv/coordination/fleet/forwarding_peers.hpp>
 #include <ggv/coordination/fleet/membership_reconciler.hpp>
+#include <ggv/coordination/fleet/pause_detector.hpp>
 #include <ggv/coordination/fleet/rate_limit_assignment.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
 #include <ggv/coordination/fleet/state_freshness.hpp>
@@ -87,6 +88,7 @@
                     self->accept(connection);
             });
         m_started = true;
+        m_pauses = PauseDetector(monotonicNow());
         observeSelf();
         tick();
         startListPoller();
@@ -133,6 +135,7 @@
     void tick()
     {
         const Instant now = monotonicNow();
+        m_pauses.observe(now);
         observeSelf();
         observeTransfers();
         m_mesh.setPeers(peers(now));
@@ -290,6 +293,7 @@
         const auto it = m_sessions.find(id);
         if (it == m_sessions.end())
             return;
+        m_pauses.observe(monotonicNow());
         try {
             const auto message = decodeFleetMessage(bytes);
             std::visit([this, &it](const auto &body) { handle(it->second, body); }, message);
@@ -304,7 +308,7 @@
     {
         const Instant now = monotonicNow();
         session.report = report;
-        if (m_directory.observeReport(report.host, now))
+        if (m_directory.observeReport(report.host, m_pauses.notSentBefore(now)))
             onHostChanged(report.host);
         session.configuration.onReport(report.version, now);
         session.list.onReport(report.listDigest, now);
@@ -316,8 +320,9 @@
 
     void handle(Session &, const HostObservationReport &report)
     {
+        const Instant sentAt = m_pauses.notSentBefore(monotonicNow());
         for (const auto &it : report.hosts) {
-            if (it.host.name != m_setup.self.name && m_directory.observeRelayed(it, monotonicNow()))
+            if (it.host.name != m_setup.self.name && m_directory.observeRelayed(it, sentAt))
                 logHostSeen(it.host);
         }
     }
@@ -332,7 +337,7 @@
     void handle(Session &session, const TargetListReport &report)
     {
         const Instant now = monotonicNow();
-        if (m_list->apply(report, now, now))
+        if (m_list->apply(report, m_pauses.notSentBefore(now), now))
             sendListToEntryHosts();
         // The report contains this host's digest, so that the sender sends the complete list next.
         if (session.report && !m_list->hasReceived(report))
@@ -346,10 +351,11 @@
     void handle(Session &session, const TargetStateReports &reports)
     {
         const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
+        const Instant sentAt = m_pauses.notSentBefore(monotonicNow());
         if (isEntry)
-            m_stateRelay.addFromEntry(reports.targets, monotonicNow());
+            m_stateRelay.addFromEntry(reports.targets, sentAt);
         else
-            m_stateRelay.addFromControl(reports.targets, monotonicNow());
+            m_stateRelay.addFromControl(reports.targets, sentAt);
     }
 
     void forwardStateReports(Instant now)
@@ -402,7 +408,9 @@
 
     bool hasCurrentState() const
     {
-        return ggv::hasCurrentState(m_quorum->status(), m_quorum->hasLeaderLease(), monotonicNow());
+        auto status = m_quorum->status();
+        status.caughtUpAt = m_pauses.notSentBefore(status.caughtUpAt);
+        return ggv::hasCurrentState(status, m_quorum->hasLeaderLease(), monotonicNow());
     }
 
     void sendFeed(Session &session)
@@ -489,7 +497,7 @@
     void reconcileMembers(Instant now)
     {
         auto status = m_quorum->status();
-        m_reconciler.observeLeader(status.leader, now);
+        m_reconciler.observeLeader(status.leader, m_pauses.runningSince(), now);
         if (!m_quorum->hasLeaderLease())
             return;
         const MembershipSize size { status.voters.size(), status.learners.size() };
@@ -577,6 +585,7 @@
     FleetDirectory m_directory;
     FleetMesh m_mesh;
     MembershipReconciler m_reconciler;
+    PauseDetector m_pauses { monotonicNow() };
     std::unique_ptr<Quorum> m_quorum;
     std::unique_ptr<FrameListener> m_listener;
     std::map<std::uint64_t, Session> m_sessions;
--- a/packages/coordination/ggv/coordination/fleet/membership_reconciler.cpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_reconciler.cpp
@@ -1,5 +1,6 @@
 #include <ggv/coordination/fleet/membership_reconciler.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace ggv {
@@ -8,14 +9,12 @@
     : m_toleratedFailures(toleratedFailures)
 { }
 
-// A paused process has missed the reports of all others.
-void MembershipReconciler::observeLeader(MemberId leader, Instant now) noexcept
+void MembershipReconciler::observeLeader(MemberId leader, Instant runningSince,
+                                         Instant now) noexcept
 {
-    const bool wasPaused = now - std::exchange(m_observedAt, now) > MaxObservationPause;
-    if (leader == m_leader && !wasPaused)
-        return;
-    m_leader = leader;
-    m_leaderSince = now;
+    if (std::exchange(m_leader, leader) != leader)
+        m_leaderSince = now;
+    m_leaderSince = std::max(m_leaderSince, runningSince);
 }
 
 std::optional<MembershipStep> MembershipReconciler::nextStep(RaftStatus status,
--- a/packages/coordination/ggv/coordination/fleet/membership_reconciler.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_reconciler.hpp
@@ -18,14 +18,17 @@
 public:
     //! Minimum time between two steps.
     static constexpr Duration StepInterval = std::chrono::milliseconds(300);
-    //! A longer time between two calls of observeLeader() is a pause of the process.
-    static constexpr Duration MaxObservationPause = std::chrono::milliseconds(500);
 
     //! @param toleratedFailures Members that may fail at the same time.
     explicit MembershipReconciler(std::uint32_t toleratedFailures) noexcept;
 
-    //! Records the member that leads, 0 if unknown.
-    void observeLeader(MemberId leader, Instant now) noexcept;
+    /**
+     * @brief Records who leads.
+     * @param leader The leading member, 0 if unknown.
+     * @param runningSince End of the last pause of this process, which missed others' reports.
+     * @param now The current time.
+     */
+    void observeLeader(MemberId leader, Instant runningSince, Instant now) noexcept;
     /**
      * @brief Computes the next step; only the leader may carry it out.
      * @param status Status of the leader's member.
@@ -43,7 +46,6 @@
     std::uint32_t m_toleratedFailures;
     MemberId m_leader = 0;
     Instant m_leaderSince {};
-    Instant m_observedAt {};
     Instant m_lastStepAt {};
 };
 
--- a/packages/coordination/test/fleet/control_host_test.cpp
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -1,6 +1,8 @@
 #include <ggv/coordination/fleet/control_host.hpp>
 #include <ggv/coordination/fleet/entry_host_selection.hpp>
+#include <ggv/coordination/fleet/fleet_directory.hpp>
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
+#include <ggv/coordination/fleet/pause_detector.hpp>
 #include <ggv/coordination/fleet/target_list_reader.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/protocol/codec/target_report_codec.hpp>
@@ -13,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -132,6 +135,7 @@
     CPPUNIT_TEST(changedReachOfTargetsIsToldToOtherControlHostsAtOnce);
     CPPUNIT_TEST(statedRateLimitIsDividedAmongEntryHosts);
     CPPUNIT_TEST(hostThatOnlyOthersHaveSeenIsNotAdded);
+    CPPUNIT_TEST(observationReadAfterAPauseIsNotNew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -244,6 +248,29 @@
         CPPUNIT_ASSERT(hasMetric("ggv_control_learners 1"));
     }
 
+    // Guards against a woken process that takes a lost host for alive, and tells others so.
+    void observationReadAfterAPauseIsNotNew()
+    {
+        constexpr milliseconds Age { 700 };
+        constexpr milliseconds Pause { 900 };
+        static_assert(Pause < ggv::FleetDirectory::LivenessTimeout);
+        static_assert(Age + Pause > ggv::FleetDirectory::LivenessTimeout);
+        EntrySession session = openSession("entry-1");
+        report(session);
+        ggv::HostAnnouncement lost = session.host;
+        lost.name = ggv::HostName("entry-2");
+        const ggv::HostObservationReport relayed { { { lost, Age } } };
+        session.connection->send(ggv::encodeFleetMessage(relayed));
+        std::this_thread::sleep_for(Pause);
+        m_context.run_for(milliseconds(100));
+        CPPUNIT_ASSERT(lookUp() == HostNames { "entry-1" });
+
+        m_context.run_for(ggv::PauseDetector::DrainTime);
+        session.connection->send(ggv::encodeFleetMessage(relayed));
+        m_context.run_for(milliseconds(100));
+        CPPUNIT_ASSERT((lookUp() == HostNames { "entry-1", "entry-2" }));
+    }
+
 private:
     using HostNames = std::vector<std::string>;
 
--- a/packages/coordination/test/fleet/membership_reconciler_test.cpp
+++ b/packages/coordination/test/fleet/membership_reconciler_test.cpp
@@ -40,8 +40,8 @@
     void newLeaderSettlesFirst()
     {
         leadFor(seconds(5));
-        m_reconciler.observeLeader(Lost, m_now);
-        m_reconciler.observeLeader(Leader, m_now);
+        m_reconciler.observeLeader(Lost, Instant::min(), m_now);
+        m_reconciler.observeLeader(Leader, Instant::min(), m_now);
         CPPUNIT_ASSERT(!nextStep());
         leadFor(seconds(5));
         const auto step = nextStep();
@@ -52,8 +52,7 @@
     void pausedLeaderSettlesAgain()
     {
         leadFor(seconds(5));
-        m_now += seconds(2);
-        m_reconciler.observeLeader(Leader, m_now);
+        m_reconciler.observeLeader(Leader, m_now, m_now);
         CPPUNIT_ASSERT(!nextStep());
         leadFor(seconds(5));
         CPPUNIT_ASSERT(nextStep());
@@ -63,7 +62,7 @@
     void leadFor(Duration duration)
     {
         for (const Instant end = m_now + duration; m_now < end; m_now += TickInterval)
-            m_reconciler.observeLeader(Leader, m_now);
+            m_reconciler.observeLeader(Leader, Instant::min(), m_now);
     }
 
     // Four voters, of which one was never heard.
