Count a follower as caught up as of its leader's last message

Callers saw: nothing yet; found while looking for the same cause on related paths.

Cause: a follower that had applied all that its leader had reported as committed renewed the time of that with any message of any member, also while its leader was out of touch or a long message of it was on its way. It may then pass an older state on to entry hosts as current, and a pause could not be told from the dated time.

Change: that time is the one of the leader's last complete message.

--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -55,8 +55,9 @@
         apply(m_log.at(m_appliedIndex + 1));
         ++m_appliedIndex;
     }
+    // Since its last message the leader may have committed more.
     if (m_leaderHasCommitted && m_appliedIndex >= m_leaderCommit)
-        m_caughtUpAt = m_now;
+        m_caughtUpAt = m_leaderContact;
     completeMemberChanges();
     if (m_appliedIndex - m_log.snapshot().index >= m_options.snapshotAfterEntries
         || m_appliedBytes >= m_options.snapshotAfterBytes)
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -427,6 +427,7 @@
     CPPUNIT_TEST(newMemberGetsOneStateInsteadOfManyEntries);
     CPPUNIT_TEST(followerIsCaughtUpOnceItHasAppliedWhatIsCommitted);
     CPPUNIT_TEST(followerIsNotCaughtUpBeforeANewLeaderHasCommitted);
+    CPPUNIT_TEST(followerIsCaughtUpAsOfItsLeadersLastMessage);
     CPPUNIT_TEST(followerWaitsWhileALongMessageArrives);
     CPPUNIT_TEST(leaderStaysWhileALongMessageIsSent);
     CPPUNIT_TEST(followerConfirmsThatALongMessageArrives);
@@ -565,6 +566,22 @@
         CPPUNIT_ASSERT(caughtUpAt() == single.now);
     }
 
+    // Guards against a follower that passes an old state on as current because others keep sending.
+    void followerIsCaughtUpAsOfItsLeadersLastMessage()
+    {
+        FakeDisk disk;
+        SingleMember single(disk);
+        const auto caughtUpAt = [&single] { return single.raft->status().caughtUpAt; };
+        const LogEntry first { 1, 1, 0, encodeNumber(1) };
+        static_cast<void>(single.receive(2, AppendRequest { 1, 0, 0, 1, 1, { first } }));
+        const Instant heardAt = single.now;
+        single.now += std::chrono::milliseconds(200);
+        static_cast<void>(single.receive(3, VoteRequest { 2, 9, 9, true }));
+        CPPUNIT_ASSERT(caughtUpAt() == heardAt);
+        static_cast<void>(single.receive(2, AppendRequest { 1, 1, 1, 1, 2, {} }));
+        CPPUNIT_ASSERT(caughtUpAt() == single.now);
+    }
+
     // Guards against elections without end: a configuration that takes longer than the election
     // timeout on a link would never be acknowledged.
     void followerWaitsWhileALongMessageArrives()
