Pass on target reports that are read after a pause

Those that seem older than 2 s are dropped, so that after a longer pause of a control host crashes of requests, rate limits and departures that reached it meanwhile would be lost. Seen by reading the code, before any landing.

Change: they are dated by the time of reading, as before. A load that is read late counts for too new until the target's next answer; that is the smaller fault.

--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -351,11 +351,13 @@
     void handle(Session &session, const TargetStateReports &reports)
     {
         const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
-        const Instant sentAt = m_pauses.notSentBefore(monotonicNow());
+        // Dated by reading also after a pause: a crash, a limit or a departure that is reported late
+        // still counts, and would be dropped if it seemed too old.
+        const Instant now = monotonicNow();
         if (isEntry)
-            m_stateRelay.addFromEntry(reports.targets, sentAt);
+            m_stateRelay.addFromEntry(reports.targets, now);
         else
-            m_stateRelay.addFromControl(reports.targets, sentAt);
+            m_stateRelay.addFromControl(reports.targets, now);
     }
 
     void forwardStateReports(Instant now)
