--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -351,8 +351,8 @@
     void handle(Session &session, const TargetStateReports &reports)
     {
         const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
-        // Dated by reading also after a pause: a crash, a limit or a departure that is reported late
-        // still counts, and would be dropped if it seemed too old.
+        // Dated by reading also after a pause: a crash, a limit or a departure that is reported
+        // late still counts, and would be dropped if it seemed too old.
         const Instant now = monotonicNow();
         if (isEntry)
             m_stateRelay.addFromEntry(reports.targets, now);
