--- a/packages/coordination/ggv/coordination/fleet/fwd.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fwd.hpp
@@ -6,6 +6,8 @@
 class FleetDirectory;
 class ControlHost;
 class EntryLink;
+class MembershipReconciler;
+class PauseDetector;
 class TargetListReader;
 
 } // namespace ggv
