--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.cpp
@@ -6,36 +6,37 @@
 
 bool FleetDirectory::observeReport(const HostAnnouncement &host, Instant sentAt)
 {
-    const Sighting sighting { host, sentAt };
-    const auto [it, isNew] = m_hosts.try_emplace(host.name, Entry { sighting, {} });
+    const TimedAnnouncement seen { host, sentAt };
+    const auto [it, isNew] = m_hosts.try_emplace(host.name, Entry { seen, {} });
     auto &report = it->second.report;
-    if (!report || sentAt >= report->at)
-        report = sighting;
-    return isNew || update(it->second.latest, sighting, Duration(0));
+    if (!report || sentAt >= report->seenAt)
+        report = seen;
+    return isNew || update(it->second.latest, seen, Duration(0));
 }
 
 bool FleetDirectory::observeRelayed(const HostObservation &observation, Instant sentAt)
 {
-    const Sighting sighting { observation.host, sentAt - observation.age };
-    const auto [it, isNew] = m_hosts.try_emplace(observation.host.name, Entry { sighting, {} });
+    const TimedAnnouncement seen { observation.host, sentAt - observation.age };
+    const auto [it, isNew] = m_hosts.try_emplace(observation.host.name, Entry { seen, {} });
     auto &latest = it->second.latest;
     const bool isChanged = latest.host != observation.host;
-    return isNew || update(latest, sighting, isChanged ? Duration(0) : MinRelayedGain);
+    return isNew || update(latest, seen, isChanged ? Duration(0) : MinRelayedGain);
 }
 
 // Returns true if the announcement has changed.
-bool FleetDirectory::update(Sighting &latest, const Sighting &sighting, Duration minGain)
+bool FleetDirectory::update(TimedAnnouncement &latest, const TimedAnnouncement &seen,
+                            Duration minGain)
 {
-    if (sighting.at < latest.at + minGain)
+    if (seen.seenAt < latest.seenAt + minGain)
         return false;
-    return std::exchange(latest, sighting).host != sighting.host;
+    return std::exchange(latest, seen).host != seen.host;
 }
 
 std::vector<HostAnnouncement> FleetDirectory::alive(HostRole role, Instant now) const
 {
     std::vector<HostAnnouncement> hosts;
     for (const auto &[name, entry] : m_hosts) {
-        if (entry.latest.host.role == role && now - entry.latest.at < LivenessTimeout)
+        if (entry.latest.host.role == role && now - entry.latest.seenAt < LivenessTimeout)
             hosts.push_back(entry.latest.host);
     }
     return hosts;
@@ -55,7 +56,7 @@
 {
     std::vector<HostObservation> observations;
     for (const auto &[name, entry] : m_hosts)
-        observations.push_back({ entry.latest.host, now - entry.latest.at });
+        observations.push_back({ entry.latest.host, now - entry.latest.seenAt });
     return observations;
 }
 
@@ -64,7 +65,7 @@
     std::vector<HostObservation> hosts;
     for (const auto &[name, entry] : m_hosts) {
         if (entry.report)
-            hosts.push_back({ entry.report->host, now - entry.report->at });
+            hosts.push_back({ entry.report->host, now - entry.report->seenAt });
     }
     return hosts;
 }
@@ -73,7 +74,7 @@
 {
     for (const auto &[name, entry] : m_hosts) {
         if (entry.latest.host.member == member)
-            return HostObservation { entry.latest.host, now - entry.latest.at };
+            return HostObservation { entry.latest.host, now - entry.latest.seenAt };
     }
     return std::nullopt;
 }
@@ -81,7 +82,7 @@
 void FleetDirectory::expire(Instant now)
 {
     std::erase_if(m_hosts,
-                  [now](const auto &it) { return now - it.second.latest.at > RetentionTime; });
+                  [now](const auto &it) { return now - it.second.latest.seenAt > RetentionTime; });
 }
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
+++ b/packages/coordination/ggv/coordination/fleet/fleet_directory.hpp
@@ -49,19 +49,19 @@
 
 private:
     //! An announcement and the last time at which its host was seen.
-    struct Sighting
+    struct TimedAnnouncement
     {
         HostAnnouncement host;
-        Instant at {};
+        Instant seenAt {};
     };
 
     struct Entry
     {
-        Sighting latest;
-        std::optional<Sighting> report; //!< The host's own latest report.
+        TimedAnnouncement latest;
+        std::optional<TimedAnnouncement> report; //!< The host's own latest report.
     };
 
-    static bool update(Sighting &latest, const Sighting &sighting, Duration minGain);
+    static bool update(TimedAnnouncement &latest, const TimedAnnouncement &seen, Duration minGain);
 
     std::map<HostName, Entry> m_hosts;
 };
