--- a/packages/coordination/test/fleet/membership_simulation_test.cpp
+++ b/packages/coordination/test/fleet/membership_simulation_test.cpp
@@ -40,6 +40,7 @@
         CPPUNIT_ASSERT(rc::check("the voters are the live hosts", [](std::uint64_t seed) {
             const auto faults = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, Faults));
             std::vector<MembershipFault> series;
+            series.reserve(faults.size());
             for (const int it : faults)
                 series.push_back(static_cast<MembershipFault>(it));
             MembershipSimulation simulation(seed);
