Let the disks of case 11 be lost 2.2 s after the stop

Cause: the loss came 1.4 s after the planned stop; later is further from the stop, and still within the 3 s in which the stopped hosts are voters.

--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -12,7 +12,7 @@
 constexpr Millis CatchUp(4000);
 constexpr Millis Margin(500);
 constexpr Millis Grace(6000);
-constexpr Millis PauseBeforeChange(1000);
+constexpr Millis PauseBeforeChange(1800);
 constexpr Millis DownTime(1200);
 constexpr Millis Recovery(15000);
 constexpr Millis ReadTime(30000);
