Remove control hosts that were stopped from the quorum at once

Each read and order gets 503 for good, and the acknowledged configuration is gone.

Cause: a host that got SIGTERM ended after 0.4 s as a voter and was only removed after 3 s of silence. Nothing told the quorum that it leaves. Four of eight voters were left.

The field existed and control hosts always sent it as true, so that older builds read it and the wire is unchanged.

Why it works: the host is a voter until its removal is committed, so that there is no time in which it counts but does not vote.

--- a/packages/coordination/ggv/coordination/consensus/raft.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.cpp
@@ -223,10 +223,13 @@
     status.voters = members().voters;
     status.learners = members().learners;
     status.caughtUpAt = m_caughtUpAt;
+    const Membership &committed = m_members.at(m_commitIndex);
+    status.isMember
+        = isMember() || detail::isVoter(committed, m_self) || detail::isLearner(committed, m_self);
     if (isLeader()) {
         status.inContact.push_back(m_self);
         for (const auto &[member, progress] : m_progress) {
-            if (hasRecentContact(member))
+            if (hasRecentContact(member) && !m_removedMembers.contains(member))
                 status.inContact.push_back(member);
         }
     }
--- a/packages/coordination/ggv/coordination/consensus/raft.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft.hpp
@@ -85,6 +85,8 @@
     //! Last time at which a follower had applied every entry that its leader reported as committed.
     Instant caughtUpAt = Instant::min();
     std::vector<MemberId> inContact; //!< Members that a leader has recently heard; with itself.
+    //! False once the removal of this member is known to be committed, and before it is added.
+    bool isMember = false;
 };
 
 //! Messages to send and completions to deliver after a call.
--- a/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_commit.cpp
@@ -20,6 +20,7 @@
     applyCommitted();
     if (!isLeader())
         return;
+    forgetInformedMembers();
     const bool heartbeat = m_heartbeatDue || m_rounds.hasWaitingReads();
     if (heartbeat)
         startReadRound();
@@ -162,6 +163,7 @@
         complete(ticket, ResultCode::NotLeader);
     failMemberChanges();
     m_progress.clear();
+    m_removedMembers.clear();
     m_leaseStart.reset();
 }
 
--- a/packages/coordination/ggv/coordination/consensus/raft_election.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_election.cpp
@@ -197,6 +197,7 @@
     m_rounds = {};
     m_leaseStart.reset();
     m_progress.clear();
+    m_removedMembers.clear();
     m_heartbeatDue = true;
     // Entries of earlier terms are committed by an entry of the current term. The membership serves
     // as that entry, which also records it in the log.
--- a/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_implementation.hpp
@@ -54,6 +54,13 @@
         bool entryAppended = false;
     };
 
+    //! A removed member that still receives the log, until it knows that it was removed.
+    struct RemovedMember
+    {
+        LogIndex index; // Of the entry that removes it.
+        std::optional<std::uint64_t> round; // First round with that entry committed.
+    };
+
     // --- raft.cpp
     [[nodiscard]] bool isLeader() const noexcept { return m_role == RaftRole::Leader; }
     [[nodiscard]] const Membership &members() const noexcept { return m_members.current(); }
@@ -127,6 +134,7 @@
     // --- raft_membership.cpp
     void onMembershipAppended(LogIndex index, ByteView payload);
     void updateProgress();
+    void forgetInformedMembers();
     void advanceMembership();
     bool startChange(MembershipChange &change);
     void promoteLearner();
@@ -170,6 +178,7 @@
 
     // Leader.
     std::map<MemberId, detail::ReplicationProgress> m_progress;
+    std::map<MemberId, RemovedMember> m_removedMembers; // Each has an entry in m_progress.
     LogIndex m_firstIndexOfTerm = 0;
     Instant m_heartbeatDeadline;
     Instant m_voteRequestDeadline {}; // Of a candidate.
--- a/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
+++ b/packages/coordination/ggv/coordination/consensus/raft_membership.cpp
@@ -22,9 +22,13 @@
 
 void Raft::Implementation::updateProgress()
 {
-    std::erase_if(m_progress, [this](const auto &it) {
-        return !detail::isVoter(members(), it.first) && !detail::isLearner(members(), it.first);
-    });
+    for (const auto &[member, progress] : m_progress) {
+        if (detail::isVoter(members(), member) || detail::isLearner(members(), member))
+            m_removedMembers.erase(member);
+        else
+            m_removedMembers.try_emplace(member,
+                                         RemovedMember { m_members.currentIndex(), std::nullopt });
+    }
     const auto add = [this](MemberId member) {
         if (member != m_self)
             m_progress.try_emplace(member, m_log.lastIndex(), m_now);
@@ -34,6 +38,26 @@
     refreshLease();
 }
 
+// A removed member gets the log until it has confirmed a round that carried the commit of its
+// removal: a host that leaves the quorum waits for that, and the member starts no elections later.
+void Raft::Implementation::forgetInformedMembers()
+{
+    for (auto &[member, removed] : m_removedMembers) {
+        if (!removed.round && m_commitIndex >= removed.index)
+            removed.round = m_rounds.latest() + 1;
+    }
+    std::erase_if(m_removedMembers, [this](const auto &it) {
+        const auto &[member, removed] = it;
+        const auto progress = m_progress.find(member);
+        const bool isInformed = removed.round && progress->second.match() >= removed.index
+            && progress->second.ackedRound() >= *removed.round;
+        if (!isInformed && hasRecentContact(member))
+            return false;
+        m_progress.erase(progress);
+        return true;
+    });
+}
+
 // One change at a time: the majorities of two memberships that differ by one member always overlap.
 // A leader's first entry is a membership, so no change starts before an entry of the current term
 // is committed.
--- a/packages/coordination/ggv/coordination/fleet/control_host.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.cpp
@@ -119,7 +119,7 @@
 
 void ControlHost::Implementation::observeSelf()
 {
-    m_setup.self.ready = true;
+    m_setup.self.ready = !m_isLeaving;
     (void)m_directory.observeReport(m_setup.self, monotonicNow());
 }
 
@@ -177,6 +177,10 @@
     m_implementation->m_setup.seeds = std::move(seeds);
 }
 
+void ControlHost::beginShutdown() { m_implementation->beginShutdown(); }
+
+bool ControlHost::awaitsRemoval() const { return m_implementation->awaitsRemoval(); }
+
 asio::awaitable<CommandOutcome> ControlHost::execute(FleetCommand command)
 {
     const auto self = m_implementation;
--- a/packages/coordination/ggv/coordination/fleet/control_host.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host.hpp
@@ -57,6 +57,11 @@
 
     //! Replaces the addresses to connect to while no other control host is known.
     void setSeeds(std::vector<Endpoint> seeds);
+    //! Announces that this host is about to stop, so that the leader removes it from the quorum.
+    void beginShutdown();
+    //! @return True after beginShutdown() while the host should keep serving, because its removal
+    //! from the quorum is still to come.
+    [[nodiscard]] bool awaitsRemoval() const;
     //! Proposes a command to the quorum and waits for its result; fails unless this host is leader.
     [[nodiscard]] boost::asio::awaitable<CommandOutcome> execute(FleetCommand command);
     //! @return A state that includes every change accepted before the call; std::nullopt if the
--- a/packages/coordination/ggv/coordination/fleet/control_host_feeds.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_feeds.cpp
@@ -29,6 +29,7 @@
     feed.evacuated = state.evacuated;
     feed.entryHosts = static_cast<std::uint32_t>(m_directory.known(HostRole::Entry).size());
     feed.controlHosts = m_directory.alive(HostRole::Control, now);
+    std::erase_if(feed.controlHosts, [](const HostAnnouncement &it) { return !it.ready; });
     if (!session.report->host.reachesTargets)
         feed.forwardingPeers
             = selectForwardingPeers(session.report->host, m_directory.alive(HostRole::Entry, now));
--- a/packages/coordination/ggv/coordination/fleet/control_host_implementation.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_implementation.hpp
@@ -33,6 +33,7 @@
     //! A connection opened by another host.
     struct Session
     {
+        std::uint64_t id = 0; //!< Greater than those of all earlier connections.
         std::shared_ptr<FrameConnection> connection;
         std::optional<HostReport> report; //!< Latest report received.
         std::uint64_t sentRevision = 0;
@@ -54,6 +55,10 @@
     void start();
     [[nodiscard]] ControlGauges gauges() const;
 
+    // --- control_host_members.cpp
+    void beginShutdown();
+    [[nodiscard]] bool awaitsRemoval() const;
+
     boost::asio::io_context &m_context;
     ControlHostSetup m_setup;
     TargetListReader &m_reader;
@@ -79,6 +84,7 @@
     std::uint64_t m_completeLists = 0; //!< Sent to entry hosts since the start.
     Instant m_hostObservationsSentAt = Instant(Duration(0));
     bool m_started = false;
+    bool m_isLeaving = false; //!< This host is about to stop.
     bool m_feedPending = false;
 
 private:
@@ -107,6 +113,7 @@
     void sessionClosed(std::uint64_t id, const char *reason);
     void receive(std::uint64_t id, ByteView bytes);
     void handle(Session &session, const HostReport &report);
+    [[nodiscard]] bool isOutdatedDeparture(const Session &session) const;
     void handle(Session &, const HostObservationReport &report);
     void handle(Session &session, const QuorumEnvelope &envelope);
     void handle(Session &session, const TargetListReport &report);
--- a/packages/coordination/ggv/coordination/fleet/control_host_members.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_members.cpp
@@ -8,6 +8,20 @@
 
 namespace ggv {
 
+// Every control host is told: any of them may lead before the removal is committed.
+void ControlHost::Implementation::beginShutdown()
+{
+    m_isLeaving = true;
+    observeSelf();
+    sendToControlHosts(ownReport());
+}
+
+bool ControlHost::Implementation::awaitsRemoval() const
+{
+    return m_isLeaving
+        && ggv::awaitsRemoval(m_quorum->status(), m_setup.self.member, m_setup.toleratedFailures);
+}
+
 // Heartbeats wait behind a large configuration or snapshot on the same connection.
 void ControlHost::Implementation::observeTransfers()
 {
@@ -89,6 +103,7 @@
 {
     logEvent(LogLevel::Info, "membership-step",
              { { "step", membershipStepName(step.kind) },
+               { "reason", membershipStepReasonName(step.reason) },
                { "member", step.member },
                { "address", step.internal.address },
                { "voters", size.voters },
--- a/packages/coordination/ggv/coordination/fleet/control_host_sessions.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_sessions.cpp
@@ -3,6 +3,7 @@
 #include <ggv/protocol/codec/fleet_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace ggv {
@@ -50,6 +51,7 @@
 void ControlHost::Implementation::accept(const std::shared_ptr<FrameConnection> &connection)
 {
     const std::uint64_t id = ++m_lastSession;
+    m_sessions[id].id = id;
     m_sessions[id].connection = connection;
     connection->start(
         [weak = weak_from_this(), id](ByteView bytes) {
@@ -93,6 +95,8 @@
 {
     const Instant now = monotonicNow();
     session.report = report;
+    if (isOutdatedDeparture(session))
+        return;
     if (m_directory.observeReport(report.host, m_pauses.notSentBefore(now)))
         onHostChanged(report.host);
     session.configuration.onReport(report.version, now);
@@ -103,6 +107,18 @@
         m_sentDigests[report.host.internal] = report.listDigest;
 }
 
+// True if the session's host says that it stops, but has started again since: its new process has
+// opened a later connection.
+bool ControlHost::Implementation::isOutdatedDeparture(const Session &session) const
+{
+    const auto &host = session.report->host;
+    if (host.role != HostRole::Control || host.ready)
+        return false;
+    return std::any_of(m_sessions.upper_bound(session.id), m_sessions.end(), [&](const auto &it) {
+        return it.second.report && it.second.report->host.name == host.name;
+    });
+}
+
 void ControlHost::Implementation::handle(Session &, const HostObservationReport &report)
 {
     const Instant sentAt = m_pauses.notSentBefore(monotonicNow());
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
@@ -3,6 +3,7 @@
 #include <ggv/coordination/fleet/fleet_directory.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace ggv {
 
@@ -18,6 +19,14 @@
     return observation.age < FleetDirectory::LivenessTimeout;
 }
 
+bool isLeaving(const HostObservation &observation) { return !observation.host.ready; }
+
+// Fewer voters would not tolerate the configured number of failures.
+std::size_t minVoters(std::uint32_t toleratedFailures)
+{
+    return 2 * std::size_t { toleratedFailures } + 1;
+}
+
 std::optional<MembershipStep> nextAdmissionStep(const MembershipPolicyInput &input,
                                                 const HostAnnouncement &host)
 {
@@ -66,48 +75,95 @@
     return silence > MemberSilenceTimeout;
 }
 
-// A learner that is catching up, or never does, delays no removal: a lost voter counts for the
-// majority until it is removed.
-std::optional<MemberId> findRemovableVoter(const MembershipPolicyInput &input)
+bool isLeaving(const MembershipPolicyInput &input, MemberId member)
 {
-    const auto &voters = input.status.voters;
-    const bool surplus = voters.size() > 2 * std::size_t { input.toleratedFailures } + 1;
-    const auto it = std::find_if(voters.begin(), voters.end(), [&](MemberId member) {
-        return isReplaced(input, member) || (surplus && isSilent(input, member));
-    });
-    return it == voters.end() ? std::nullopt : std::optional(*it);
+    const auto *observation = findObservation(input, member);
+    return observation != nullptr && isLeaving(*observation);
 }
 
-std::optional<MemberId> findSilentLearner(const MembershipPolicyInput &input)
+bool isOtherLeaving(const MembershipPolicyInput &input, MemberId member)
 {
-    const auto &learners = input.status.learners;
-    const auto it = std::find_if(learners.begin(), learners.end(),
-                                 [&](MemberId member) { return isSilent(input, member); });
-    return it == learners.end() ? std::nullopt : std::optional(*it);
+    return member != input.status.leader && isLeaving(input, member);
 }
 
-MembershipStep removalOf(const MembershipPolicyInput &input, MemberId member)
+//! A reason to remove a member.
+struct RemovalRule
 {
-    return { MembershipStepKind::Remove, member, addressOf(input, member) };
+    bool (*applies)(const MembershipPolicyInput &, MemberId);
+    MembershipStepReason reason;
+    bool onlyReplacedVoters = false; //!< Else also learners, and a voter only if enough remain.
+};
+
+// Comes before all other steps: the host stops soon, and would count as a lost voter.
+constexpr RemovalRule LeavingRule { isOtherLeaving, MembershipStepReason::Leaving };
+
+// Come after the admissions. The leader removes itself last, as it carries out all other steps.
+constexpr std::array LaterRules {
+    RemovalRule { isReplaced, MembershipStepReason::Replaced, true },
+    RemovalRule { isSilent, MembershipStepReason::Silent },
+    RemovalRule { isLeaving, MembershipStepReason::Leaving },
+};
+
+std::optional<MembershipStep> findRemoval(const MembershipPolicyInput &input,
+                                          const RemovalRule &rule,
+                                          const std::vector<MemberId> &members)
+{
+    const auto it = std::find_if(members.begin(), members.end(),
+                                 [&](MemberId member) { return rule.applies(input, member); });
+    if (it == members.end())
+        return std::nullopt;
+    return MembershipStep { MembershipStepKind::Remove, *it, addressOf(input, *it), rule.reason };
 }
 
-} // namespace
+// A learner that is catching up, or never does, delays no removal: a lost voter counts for the
+// majority until it is removed.
+std::optional<MembershipStep> findRemoval(const MembershipPolicyInput &input,
+                                          const RemovalRule &rule)
+{
+    const auto &voters = input.status.voters;
+    const bool hasSurplus = voters.size() > minVoters(input.toleratedFailures);
+    if (rule.onlyReplacedVoters)
+        return findRemoval(input, rule, voters);
+    if (auto step = hasSurplus ? findRemoval(input, rule, voters) : std::nullopt)
+        return step;
+    return findRemoval(input, rule, input.status.learners);
+}
 
-std::optional<MembershipStep> nextMembershipStep(const MembershipPolicyInput &input)
+std::optional<MembershipStep> nextAdmissionStep(const MembershipPolicyInput &input)
 {
     for (const auto &it : input.hosts) {
-        if (it.host.role != HostRole::Control || it.host.member == 0 || !isAlive(it))
+        if (it.host.role != HostRole::Control || it.host.member == 0 || !isAlive(it)
+            || isLeaving(it))
             continue;
         if (auto step = nextAdmissionStep(input, it.host))
             return step;
     }
-    if (const auto member = findRemovableVoter(input))
-        return removalOf(input, *member);
-    if (const auto member = findSilentLearner(input))
-        return removalOf(input, *member);
     return std::nullopt;
 }
 
+} // namespace
+
+std::optional<MembershipStep> nextMembershipStep(const MembershipPolicyInput &input)
+{
+    if (auto step = findRemoval(input, LeavingRule))
+        return step;
+    if (auto step = nextAdmissionStep(input))
+        return step;
+    for (const auto &rule : LaterRules) {
+        if (auto step = findRemoval(input, rule))
+            return step;
+    }
+    return std::nullopt;
+}
+
+bool awaitsRemoval(const RaftStatus &status, MemberId member, std::uint32_t toleratedFailures)
+{
+    if (!status.isMember)
+        return false;
+    const bool isVoter = contains(status.voters, member);
+    return !isVoter || status.voters.size() > minVoters(toleratedFailures);
+}
+
 std::string_view membershipStepName(MembershipStepKind kind) noexcept
 {
     switch (kind) {
@@ -121,4 +177,19 @@
     return "unlisted";
 }
 
+std::string_view membershipStepReasonName(MembershipStepReason reason) noexcept
+{
+    switch (reason) {
+    case MembershipStepReason::Reporting:
+        return "reporting";
+    case MembershipStepReason::Replaced:
+        return "replaced";
+    case MembershipStepReason::Silent:
+        return "silent";
+    case MembershipStepReason::Leaving:
+        return "leaving";
+    }
+    return "unlisted";
+}
+
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -16,12 +16,21 @@
     Remove,
 };
 
+//! Reason for a step.
+enum class MembershipStepReason : std::uint8_t {
+    Reporting, //!< The host reports to the leader and is no member yet.
+    Replaced, //!< The member's address reports as another voter.
+    Silent, //!< The member has not been heard for MemberSilenceTimeout.
+    Leaving, //!< The member's host has announced that it stops.
+};
+
 //! One step of a membership change, carried out by the leader.
 struct MembershipStep
 {
     MembershipStepKind kind = MembershipStepKind::Register;
     MemberId member = 0;
     Endpoint internal;
+    MembershipStepReason reason = MembershipStepReason::Reporting;
 
     [[nodiscard]] auto operator<=>(const MembershipStep &) const = default;
 };
@@ -48,14 +57,28 @@
  * @brief Computes the next step that aligns the quorum's membership with the live control hosts.
  *
  * Every live control host becomes a voter. A voter is removed once its address reports under
- * another member id that is a voter, or after MemberSilenceTimeout if enough voters remain to
- * tolerate the configured number of failures. A learner is removed after MemberSilenceTimeout.
+ * another member id that is a voter, and, if enough voters remain to tolerate the configured number
+ * of failures, after MemberSilenceTimeout or once its host is leaving. A learner is removed after
+ * MemberSilenceTimeout or once its host is leaving.
  * @param input Input of the decision.
  * @return The next step, or std::nullopt if no change is needed.
  */
 [[nodiscard]] std::optional<MembershipStep> nextMembershipStep(const MembershipPolicyInput &input);
 
+/**
+ * @brief Tells whether a host that leaves should keep serving because the leader is about to remove
+ * its member from the quorum.
+ * @param status Status of the leaving host's own member.
+ * @param member The leaving host's member.
+ * @param toleratedFailures Members that may fail at the same time.
+ * @return False once the removal is committed, and if too few voters would remain for a removal.
+ */
+[[nodiscard]] bool awaitsRemoval(const RaftStatus &status, MemberId member,
+                                 std::uint32_t toleratedFailures);
+
 //! @return Name of the step kind for logs.
 [[nodiscard]] std::string_view membershipStepName(MembershipStepKind kind) noexcept;
+//! @return Name of the reason for logs.
+[[nodiscard]] std::string_view membershipStepReasonName(MembershipStepReason reason) noexcept;
 
 } // namespace ggv
--- a/packages/coordination/test/consensus/raft_scenario_test.cpp
+++ b/packages/coordination/test/consensus/raft_scenario_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(catchesUpWhileLargeCommandsContinue);
     CPPUNIT_TEST(replacedMemberAllowsSecondDiskLoss);
     CPPUNIT_TEST(removedLeaderStepsDown);
+    CPPUNIT_TEST(removedMemberLearnsOfItsRemoval);
     CPPUNIT_TEST(lastVoterCannotBeRemoved);
     CPPUNIT_TEST(rejectsRemovalsThatLeaveNoMajority);
     CPPUNIT_TEST(unreachableLearnerDoesNotBlockOtherChanges);
@@ -265,6 +266,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, cluster.leader()->raft->status().voters.size());
     }
 
+    // Guards against a host that cannot tell when it may stop without counting as a lost voter.
+    void removedMemberLearnsOfItsRemoval()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            Cluster cluster(4, seed);
+            cluster.faults.lossPercent = 5;
+            Member &leader = cluster.waitForLeader();
+            const MemberId removed = leader.id % 4 + 1;
+            CPPUNIT_ASSERT(cluster.member(removed).raft->status().isMember);
+            static_cast<void>(cluster.changeMember(leader, removed, false));
+            const auto isInformed
+                = [&] { return !cluster.member(removed).raft->status().isMember; };
+            CPPUNIT_ASSERT(cluster.runUntil(isInformed, Milliseconds(3000)));
+            // The leader then no longer replicates to it.
+            cluster.run(Milliseconds(1000));
+            const LogIndex last = cluster.member(removed).raft->status().lastIndex;
+            cluster.proposeUntilAccepted();
+            cluster.run(Milliseconds(1000));
+            CPPUNIT_ASSERT_EQUAL(last, cluster.member(removed).raft->status().lastIndex);
+            cluster.checkOutcome();
+        }
+    }
+
     void lastVoterCannotBeRemoved()
     {
         Cluster cluster(1, 9);
--- a/packages/coordination/test/fleet/control_host_test.cpp
+++ b/packages/coordination/test/fleet/control_host_test.cpp
@@ -115,6 +115,8 @@
 
     void record(const FleetMessage &message)
     {
+        if (const auto *own = std::get_if<ggv::HostReport>(&message))
+            m_observed[own->host.name] = own->host;
         const auto *report = std::get_if<ggv::HostObservationReport>(&message);
         if (report == nullptr)
             return;
@@ -136,6 +138,8 @@
     CPPUNIT_TEST(statedRateLimitIsDividedAmongEntryHosts);
     CPPUNIT_TEST(hostThatOnlyOthersHaveSeenIsNotAdded);
     CPPUNIT_TEST(observationReadAfterAPauseIsNotNew);
+    CPPUNIT_TEST(shutdownIsAnnouncedAtOnce);
+    CPPUNIT_TEST(lateAnnouncementOfAnEarlierProcessRemovesNoMember);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -271,6 +275,47 @@
         CPPUNIT_ASSERT((lookUp() == HostNames { "entry-1", "entry-2" }));
     }
 
+    // Guards against a host whose leader learns only by its silence that it was stopped.
+    void shutdownIsAnnouncedAtOnce()
+    {
+        std::map<ggv::HostName, ggv::HostAnnouncement> observed;
+        OtherControlHost other(m_context, observed);
+        m_host->setSeeds({ m_endpoint, other.endpoint() });
+        const ggv::HostName self("control-1");
+        runUntil([&] { return observed.contains(self); });
+        CPPUNIT_ASSERT(observed[self].ready);
+        const auto startedAt = std::chrono::steady_clock::now();
+        m_host->beginShutdown();
+        runUntil([&] { return !observed[self].ready; });
+        CPPUNIT_ASSERT(!observed[self].ready);
+        // Periodic reports come each 0.4 s.
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt < milliseconds(200));
+        CPPUNIT_ASSERT(!m_host->awaitsRemoval()); // The only voter cannot be removed.
+    }
+
+    // Guards against a host that started again and is removed for what its earlier process said
+    // last, as the leader was paused and reads it late.
+    void lateAnnouncementOfAnEarlierProcessRemovesNoMember()
+    {
+        runUntil([&] { return m_host->isConfirmedLeader(); });
+        ggv::HostAnnouncement host = sampleHost(ggv::HostRole::Control);
+        const auto announce = [&host](const std::shared_ptr<FrameConnection> &connection) {
+            connection->send(ggv::encodeFleetMessage(ggv::HostReport { host, 0, 0 }));
+        };
+        const auto earlier = connect([](ggv::ByteView) {});
+        const auto later = connect([](ggv::ByteView) {});
+        announce(earlier);
+        announce(later);
+        runUntil([&] { return hasMetric("ggv_control_learners 1"); });
+        host.ready = false;
+        announce(earlier);
+        m_context.run_for(seconds(1));
+        CPPUNIT_ASSERT(hasMetric("ggv_control_learners 1"));
+        announce(later);
+        runUntil([&] { return hasMetric("ggv_control_learners 0"); });
+        CPPUNIT_ASSERT(hasMetric("ggv_control_learners 0"));
+    }
+
 private:
     using HostNames = std::vector<std::string>;
 
--- a/packages/coordination/test/fleet/membership_policy_test.cpp
+++ b/packages/coordination/test/fleet/membership_policy_test.cpp
@@ -21,6 +21,7 @@
     observation.host.role = HostRole::Control;
     observation.host.internal = addressOf(address);
     observation.host.member = member;
+    observation.host.ready = true;
     observation.age = age;
     return observation;
 }
@@ -51,6 +52,18 @@
     return input;
 }
 
+//! Returns an input with eight live voters, two of which are successors.
+MembershipPolicyInput eightVoters()
+{
+    MembershipPolicyInput input = sixVoters();
+    for (const unsigned n : { 7U, 8U }) {
+        input.status.voters.push_back(n);
+        input.registered.push_back({ n, addressOf(n) });
+        input.hosts.push_back(memberAt(n, n, Duration(0)));
+    }
+    return input;
+}
+
 class MembershipPolicyTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(MembershipPolicyTest);
@@ -65,6 +78,12 @@
     CPPUNIT_TEST(silentLearnerIsRemoved);
     CPPUNIT_TEST(learnerDelaysNoRemovalOfLostVoters);
     CPPUNIT_TEST(entryHostsAreNotAdded);
+    CPPUNIT_TEST(leavingVotersAreRemovedAtOnce);
+    CPPUNIT_TEST(leavingVotersStayIfTooFewWouldRemain);
+    CPPUNIT_TEST(leavingHostIsNotAddedAndReturnsAsAMember);
+    CPPUNIT_TEST(leavingLearnerIsRemoved);
+    CPPUNIT_TEST(leaderRemovesItselfAfterAllOthers);
+    CPPUNIT_TEST(leavingHostWaitsOnlyForARemovalToCome);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +212,93 @@
         input.hosts.back().host.role = HostRole::Entry;
         CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
     }
+
+    // Guards against a host that was stopped and replaced as planned and still counts for the
+    // majority: two more lost disks then leave four of eight voters.
+    void leavingVotersAreRemovedAtOnce()
+    {
+        auto input = eightVoters();
+        input.timeAsLeader = Duration(0);
+        input.hosts[4].host.ready = input.hosts[5].host.ready = false;
+        for (const MemberId leaving : { 5, 6 }) {
+            const auto step = ggv::nextMembershipStep(input);
+            CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Remove);
+            CPPUNIT_ASSERT_EQUAL(leaving, step->member);
+            CPPUNIT_ASSERT(ggv::MembershipStepReason::Leaving == step->reason);
+            std::erase(input.status.voters, leaving);
+        }
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+    }
+
+    // Guards against restarts of all hosts that shrink the quorum below what it tolerates.
+    void leavingVotersStayIfTooFewWouldRemain()
+    {
+        auto input = sixVoters();
+        for (auto &it : input.hosts)
+            it.host.ready = false;
+        const auto step = ggv::nextMembershipStep(input);
+        CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Remove);
+        std::erase(input.status.voters, step->member);
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+    }
+
+    void leavingHostIsNotAddedAndReturnsAsAMember()
+    {
+        auto input = sixVoters();
+        std::erase(input.status.voters, MemberId { 6 });
+        input.hosts[5].host.ready = false;
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+        input.hosts[5].host.ready = true;
+        const auto step = ggv::nextMembershipStep(input);
+        CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Add);
+        CPPUNIT_ASSERT_EQUAL(MemberId { 6 }, step->member);
+    }
+
+    void leavingLearnerIsRemoved()
+    {
+        auto input = withLearner();
+        std::erase(input.status.voters, MemberId { 6 });
+        input.hosts.erase(input.hosts.begin() + 5);
+        input.hosts.back().host.ready = false;
+        const auto step = ggv::nextMembershipStep(input);
+        CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Remove);
+        CPPUNIT_ASSERT_EQUAL(Learner, step->member);
+    }
+
+    // Guards against a leader that steps down while others still wait for their removal.
+    void leaderRemovesItselfAfterAllOthers()
+    {
+        auto input = eightVoters();
+        input.status.leader = 1;
+        input.hosts[0].host.ready = input.hosts[7].host.ready = false;
+        input.hosts.push_back(memberAt(9, 90, Duration(0)));
+        for (const auto kind : { MembershipStepKind::Remove, MembershipStepKind::Register }) {
+            const auto step = ggv::nextMembershipStep(input);
+            CPPUNIT_ASSERT(step && step->kind == kind && step->member != 1);
+            std::erase(input.status.voters, step->member);
+        }
+        input.hosts.pop_back();
+        const auto step = ggv::nextMembershipStep(input);
+        CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Remove);
+        CPPUNIT_ASSERT_EQUAL(MemberId { 1 }, step->member);
+    }
+
+    void leavingHostWaitsOnlyForARemovalToCome()
+    {
+        const auto awaitsRemoval
+            = [](const ggv::RaftStatus &status) { return ggv::awaitsRemoval(status, 1, 2); };
+        ggv::RaftStatus status;
+        CPPUNIT_ASSERT(!awaitsRemoval(status)); // Never added, or its disk is full.
+        status.isMember = true;
+        status.voters = { 1, 2, 3, 4, 5, 6 };
+        CPPUNIT_ASSERT(awaitsRemoval(status));
+        status.voters = { 1, 2, 3, 4, 5 };
+        CPPUNIT_ASSERT(!awaitsRemoval(status)); // Not removed: too few would remain.
+        status.voters = { 2, 3, 4, 5, 6 };
+        CPPUNIT_ASSERT(awaitsRemoval(status)); // The removal is not committed yet.
+        status.isMember = false;
+        CPPUNIT_ASSERT(!awaitsRemoval(status));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipPolicyTest);
--- a/packages/coordination/test/fleet/membership_simulation.hpp
+++ b/packages/coordination/test/fleet/membership_simulation.hpp
@@ -25,6 +25,8 @@
     FreezeTwo,
     FreezeLeader, //!< And replace another host at the same moment.
     ChangeLeader, //!< Beside a replaced host.
+    ReplaceTwoAsPlanned, //!< Two others lose their disks right after the replaced hosts were
+                         //!< stopped.
     ElectWoken, //!< A host that was frozen beside a replaced one leads soon after it wakes.
     Count
 };
@@ -66,6 +68,8 @@
     void play(const std::vector<MembershipFault> &faults)
     {
         for (const auto it : faults) {
+            if (!m_alwaysHadMajority)
+                return;
             apply(it);
             run(SettlingTime);
             m_isSettled = m_isSettled && isAligned();
@@ -90,6 +94,7 @@
         bool isRunning = true;
         bool catchesUp = true;
         bool isOld = false;
+        Instant stoppedAt = Instant::max(); //!< Time of the signal to stop.
         Instant frozenUntil {};
         Instant lostAt = Instant::max();
         Instant reportedAt {};
@@ -112,6 +117,10 @@
     static constexpr Duration MaxDelay = std::chrono::milliseconds(70);
     static constexpr Duration CatchUpTime = std::chrono::milliseconds(300);
     static constexpr Duration FreezeTime = std::chrono::seconds(4);
+    static constexpr Duration ShutdownTime = std::chrono::milliseconds(400);
+    static constexpr Duration MaxRemovalWait = std::chrono::seconds(3);
+    //! Time after which a lost or replaced host no longer counts.
+    static constexpr Duration CatchUpBound = std::chrono::seconds(4);
     static constexpr Duration ReplaceDelay = std::chrono::seconds(1);
     static constexpr int Seeds = 3;
 
@@ -176,6 +185,7 @@
         host.self.role = HostRole::Control;
         host.self.internal = address;
         host.self.member = ++m_lastMember;
+        host.self.ready = true;
         host.catchesUp = m_catchesUp;
         host.pauses = PauseDetector(m_now);
         m_hosts.push_back(std::move(host));
@@ -204,6 +214,55 @@
         m_hosts[host].lostAt = m_now;
     }
 
+    // The host announces that it leaves and waits for its removal from the quorum.
+    void stop(std::size_t host)
+    {
+        m_hosts[host].stoppedAt = m_now;
+        m_hosts[host].self.ready = false;
+        sendReports(m_hosts[host]);
+    }
+
+    void endStoppedHosts()
+    {
+        for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+            const Host &host = m_hosts[n];
+            if (!isAwake(host) || host.stoppedAt == Instant::max())
+                continue;
+            const bool awaits = awaitsRemoval(statusOf(host), host.self.member, ToleratedFailures);
+            const Duration elapsed = m_now - host.stoppedAt;
+            if (elapsed >= ShutdownTime && (!awaits || elapsed >= MaxRemovalWait))
+                lose(n);
+        }
+    }
+
+    void replaceTwoAsPlanned(std::size_t first, std::size_t second, Duration pause)
+    {
+        startSuccessor();
+        startSuccessor();
+        run(CatchUpBound);
+        stop(first);
+        stop(second);
+        run(pause);
+        loseTwoDisks();
+    }
+
+    // The hosts return at their addresses as other members.
+    void loseTwoDisks()
+    {
+        std::vector<std::size_t> hosts;
+        for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+            if (isAwake(m_hosts[n]) && m_hosts[n].stoppedAt == Instant::max())
+                hosts.push_back(n);
+        }
+        std::shuffle(hosts.begin(), hosts.end(), m_random);
+        hosts.resize(std::min<std::size_t>(hosts.size(), ToleratedFailures));
+        for (const std::size_t it : hosts)
+            lose(it);
+        run(ReplaceDelay);
+        for (const std::size_t it : hosts)
+            startHost(m_hosts[it].self.internal, m_hosts[it].self.name);
+    }
+
     void freeze(std::size_t host) { m_hosts[host].frozenUntil = m_now + FreezeTime; }
 
     void replace(std::size_t host)
@@ -267,12 +326,15 @@
             run(drawDuration(std::chrono::seconds(3)));
             m_leader = drawAwakeVoter();
             break;
+        case MembershipFault::ReplaceTwoAsPlanned:
+            replaceTwoAsPlanned(first, second, drawDuration(CatchUpBound));
+            break;
         case MembershipFault::ElectWoken:
             freeze(second);
             run(pause);
             replace(first);
             run(m_hosts[second].frozenUntil - m_now);
-            while (!contains(m_voters, m_hosts[second].self.member))
+            while (m_alwaysHadMajority && !contains(m_voters, m_hosts[second].self.member))
                 run(TickInterval);
             if (!m_hosts[second].isOld)
                 m_leader = second;
@@ -314,6 +376,8 @@
         status.leader = m_hosts[m_leader].self.member;
         status.voters = m_voters;
         status.learners = m_learners;
+        status.isMember
+            = contains(m_voters, host.self.member) || contains(m_learners, host.self.member);
         for (const auto &members : { m_voters, m_learners }) {
             std::copy_if(members.begin(), members.end(), std::back_inserter(status.inContact),
                          [this](MemberId it) { return isAwake(it); });
@@ -454,6 +518,7 @@
                     tick(it);
             }
             promoteLearner();
+            endStoppedHosts();
             m_alwaysHadMajority = m_alwaysHadMajority && isMajorityAwake(m_voters);
         }
     }
--- a/packages/protocol/ggv/protocol/message/fleet_message.hpp
+++ b/packages/protocol/ggv/protocol/message/fleet_message.hpp
@@ -31,7 +31,8 @@
     FailureDomainName domain;
     RegionName region;
     MemberId member = 0; //!< Identity in the quorum; 0 if not a member.
-    bool ready = false; //!< True if the host accepts new requests.
+    //! True if an entry host accepts new requests, and until a control host is about to stop.
+    bool ready = false;
     bool reachesTargets = true; //!< False if an entry host can connect to no target.
 
     [[nodiscard]] auto operator<=>(const HostAnnouncement &) const = default;
