Notice killed hosts sooner if they endanger a grown quorum

Cause: a voter is taken for lost after 3 s of silence, whatever that means for the majority. Without notice nobody can know at once that a host is gone for good, but 3 s are longer than need be.

Change: a voter that has been silent for 1.5 s is removed if the tolerated failures on top of all silent voters would leave no majority and 2 x tolerated failures + 2 voters remain. Six voters with two tolerated failures are never reduced by this. A shorter time would add the host again, which counts as alive for 1.5 s.

What remains: the time until the silence is noticed (1.5 s, with an election and 1 s more if one of them led).

--- a/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.cpp
@@ -1,7 +1,5 @@
 #include <ggv/coordination/fleet/membership_policy.hpp>
 
-#include <ggv/coordination/fleet/fleet_directory.hpp>
-
 #include <algorithm>
 #include <array>
 
@@ -66,13 +64,33 @@
     });
 }
 
-bool isSilent(const MembershipPolicyInput &input, MemberId member)
+bool isSilentFor(const MembershipPolicyInput &input, MemberId member, Duration timeout)
 {
     if (contains(input.status.inContact, member) || input.timeAsLeader < LeaderSettlingTime)
         return false;
     const auto *observation = findObservation(input, member);
     const Duration silence = observation == nullptr ? input.timeAsLeader : observation->age;
-    return silence > MemberSilenceTimeout;
+    return silence > timeout;
+}
+
+bool isSilent(const MembershipPolicyInput &input, MemberId member)
+{
+    return isSilentFor(input, member, MemberSilenceTimeout);
+}
+
+// True if the tolerated failures would leave no majority because silent voters count for it, as
+// after hosts were killed whose successors had come before. Not in a quorum that would shrink to
+// the minimum: there the hosts that are silent are part of the tolerated failures.
+bool endangersMajority(const MembershipPolicyInput &input, MemberId member)
+{
+    const auto &voters = input.status.voters;
+    if (voters.size() < minVoters(input.toleratedFailures) + 2)
+        return false;
+    const auto isSilentVoter
+        = [&input](MemberId it) { return isSilentFor(input, it, EndangeringSilenceTimeout); };
+    const auto silent = std::count_if(voters.begin(), voters.end(), isSilentVoter);
+    const std::size_t lost = static_cast<std::size_t>(silent) + input.toleratedFailures;
+    return 2 * lost >= voters.size() && isSilentVoter(member);
 }
 
 bool isLeaving(const MembershipPolicyInput &input, MemberId member)
@@ -100,6 +118,7 @@
 // Come after the admissions. The leader removes itself last, as it carries out all other steps.
 constexpr std::array LaterRules {
     RemovalRule { isReplaced, MembershipStepReason::Replaced, true },
+    RemovalRule { endangersMajority, MembershipStepReason::Silent },
     RemovalRule { isSilent, MembershipStepReason::Silent },
     RemovalRule { isLeaving, MembershipStepReason::Leaving },
 };
--- a/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
+++ b/packages/coordination/ggv/coordination/fleet/membership_policy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ggv/coordination/consensus/raft.hpp>
+#include <ggv/coordination/fleet/fleet_directory.hpp>
 #include <ggv/protocol/message/fleet_message.hpp>
 
 #include <optional>
@@ -20,7 +21,7 @@
 enum class MembershipStepReason : std::uint8_t {
     Reporting, //!< The host reports to the leader and is no member yet.
     Replaced, //!< The member's address reports as another voter.
-    Silent, //!< The member has not been heard for MemberSilenceTimeout.
+    Silent, //!< The member has not been heard for too long.
     Leaving, //!< The member's host has announced that it stops.
 };
 
@@ -50,6 +51,9 @@
 //! A member that has not reported for this long may be removed. Until then it counts for the
 //! majority, although it is lost.
 inline constexpr Duration MemberSilenceTimeout = std::chrono::seconds(3);
+//! The same if the tolerated failures would leave no majority because of the silent members. A
+//! shorter time would add a member again that was just removed.
+inline constexpr Duration EndangeringSilenceTimeout = FleetDirectory::LivenessTimeout;
 //! Time in which a new leader receives the reports of all members.
 inline constexpr Duration LeaderSettlingTime = std::chrono::seconds(1);
 
@@ -58,8 +62,9 @@
  *
  * Every live control host becomes a voter. A voter is removed once its address reports under
  * another member id that is a voter, and, if enough voters remain to tolerate the configured number
- * of failures, after MemberSilenceTimeout or once its host is leaving. A learner is removed after
- * MemberSilenceTimeout or once its host is leaving.
+ * of failures, after MemberSilenceTimeout or once its host is leaving; after
+ * EndangeringSilenceTimeout if the quorum has grown and would not survive the tolerated failures. A
+ * learner is removed after MemberSilenceTimeout or once its host is leaving.
  * @param input Input of the decision.
  * @return The next step, or std::nullopt if no change is needed.
  */
--- a/packages/coordination/test/fleet/membership_policy_test.cpp
+++ b/packages/coordination/test/fleet/membership_policy_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(learnerDelaysNoRemovalOfLostVoters);
     CPPUNIT_TEST(entryHostsAreNotAdded);
     CPPUNIT_TEST(leavingVotersAreRemovedAtOnce);
+    CPPUNIT_TEST(silentVotersThatEndangerTheMajorityAreRemovedSooner);
     CPPUNIT_TEST(leavingVotersStayIfTooFewWouldRemain);
     CPPUNIT_TEST(leavingHostIsNotAddedAndReturnsAsAMember);
     CPPUNIT_TEST(leavingLearnerIsRemoved);
@@ -230,6 +231,31 @@
         CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
     }
 
+    // Guards against hosts that were killed after their successors came and still count when two
+    // others lose their disks.
+    void silentVotersThatEndangerTheMajorityAreRemovedSooner()
+    {
+        auto input = eightVoters();
+        input.hosts[4].age = ggv::EndangeringSilenceTimeout;
+        input.hosts[5].age = ggv::EndangeringSilenceTimeout + std::chrono::milliseconds(1);
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input)); // Five of eight would be left.
+        input.hosts[4].age = input.hosts[5].age;
+        const auto step = ggv::nextMembershipStep(input);
+        CPPUNIT_ASSERT(step && step->kind == MembershipStepKind::Remove);
+        CPPUNIT_ASSERT_EQUAL(MemberId { 5 }, step->member);
+        input.status.voters.erase(input.status.voters.begin() + 4);
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input)); // Four of seven would be left.
+
+        // Two lost hosts of six are the tolerated failures themselves.
+        input = sixVoters();
+        input.hosts[4].age = input.hosts[5].age = ggv::MemberSilenceTimeout;
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+        input = eightVoters();
+        input.hosts[4].age = input.hosts[5].age = seconds(2);
+        input.timeAsLeader = std::chrono::milliseconds(900);
+        CPPUNIT_ASSERT(!ggv::nextMembershipStep(input));
+    }
+
     // Guards against restarts of all hosts that shrink the quorum below what it tolerates.
     void leavingVotersStayIfTooFewWouldRemain()
     {
--- a/packages/coordination/test/fleet/membership_simulation.hpp
+++ b/packages/coordination/test/fleet/membership_simulation.hpp
@@ -27,6 +27,7 @@
     ChangeLeader, //!< Beside a replaced host.
     ReplaceTwoAsPlanned, //!< Two others lose their disks right after the replaced hosts were
                          //!< stopped.
+    KillTwoWithSuccessors, //!< The same with hosts that are killed without notice and do not lead.
     ElectWoken, //!< A host that was frozen beside a replaced one leads soon after it wakes.
     Count
 };
@@ -121,6 +122,8 @@
     static constexpr Duration MaxRemovalWait = std::chrono::seconds(3);
     //! Time after which a lost or replaced host no longer counts.
     static constexpr Duration CatchUpBound = std::chrono::seconds(4);
+    //! Time after which the leader has removed the first of two hosts that were killed.
+    static constexpr Duration NoticeTime = std::chrono::seconds(2);
     static constexpr Duration ReplaceDelay = std::chrono::seconds(1);
     static constexpr int Seeds = 3;
 
@@ -235,6 +238,19 @@
         }
     }
 
+    // The disks are lost once the leader has had time to notice the silence.
+    void killTwoWithSuccessors()
+    {
+        startSuccessor();
+        startSuccessor();
+        run(CatchUpBound);
+        const std::size_t first = drawAwake(m_leader);
+        lose(first);
+        lose(drawAwake(m_leader));
+        run(NoticeTime);
+        loseTwoDisks();
+    }
+
     void replaceTwoAsPlanned(std::size_t first, std::size_t second, Duration pause)
     {
         startSuccessor();
@@ -329,6 +345,9 @@
         case MembershipFault::ReplaceTwoAsPlanned:
             replaceTwoAsPlanned(first, second, drawDuration(CatchUpBound));
             break;
+        case MembershipFault::KillTwoWithSuccessors:
+            killTwoWithSuccessors();
+            break;
         case MembershipFault::ElectWoken:
             freeze(second);
             run(pause);
