Use targets again that started again under their names

Each request to that service gets 503, also on a route that is added afterwards, until the entry hosts are restarted.

Change: the start is part of the statement, and a later start is a new target. Starts go beside the list, as records that older builds ignore, and come into force with it; the list's form and digest are unchanged. Reports of departures between entry hosts carry the start in a second record. A target that the list has shown as ready for 3 s is asked by its health path.

--- a/packages/coordination/ggv/coordination/fleet/control_host_feeds.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_feeds.cpp
@@ -2,6 +2,7 @@
 #include <ggv/coordination/fleet/forwarding_peers.hpp>
 #include <ggv/coordination/fleet/state_freshness.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
+#include <ggv/protocol/codec/target_report_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
 
 #include <utility>
@@ -52,8 +53,24 @@
     session.connection->send(std::move(bytes));
 }
 
+std::optional<TargetStateReports>
+ControlHost::Implementation::takeStarts(std::uint64_t &revision) const
+{
+    const auto &starts = m_list->starts();
+    if (revision == starts.revision())
+        return std::nullopt;
+    const auto changed = starts.changedSince(std::exchange(revision, starts.revision()));
+    return TargetStateReports { encodeTargetStarts(changed) };
+}
+
+// The starts go first, so that a restarted target is not taken for the earlier one.
 void ControlHost::Implementation::sendList(Session &session, Instant now)
 {
+    if (const auto starts = takeStarts(session.sentStarts)) {
+        Bytes bytes = encodeFleetMessage(*starts);
+        m_listBytes += bytes.size();
+        session.connection->send(std::move(bytes));
+    }
     const TargetListReport report = m_list->report(session.list.sent(), now);
     m_completeLists += report.targets ? 1 : 0;
     Bytes bytes = encodeFleetMessage(report);
@@ -99,12 +116,18 @@
     }
 }
 
+void ControlHost::Implementation::sendListToControlHost(const Endpoint &peer)
+{
+    if (const auto starts = takeStarts(m_sentStarts[peer]))
+        m_mesh.send(peer, *starts);
+    m_mesh.send(
+        peer, m_list->report(std::exchange(m_sentDigests[peer], m_list->digest()), monotonicNow()));
+}
+
 void ControlHost::Implementation::sendListToAll()
 {
     for (const auto &peer : m_mesh.connected())
-        m_mesh.send(
-            peer,
-            m_list->report(std::exchange(m_sentDigests[peer], m_list->digest()), monotonicNow()));
+        sendListToControlHost(peer);
     sendListToEntryHosts();
 }
 
--- a/packages/coordination/ggv/coordination/fleet/control_host_implementation.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_implementation.hpp
@@ -39,6 +39,8 @@
         std::uint64_t sentRevision = 0;
         Delivery configuration; //!< By version.
         Delivery list; //!< Target list, by digest.
+        std::vector<TargetStart> receivedStarts; //!< Of the list that follows.
+        std::uint64_t sentStarts = 0; //!< Revision of the starts of targets last sent.
     };
 
     //! Number of members of the quorum.
@@ -77,6 +79,7 @@
                                                      //!< reported by each control host.
     std::shared_ptr<SharedTargetList> m_list = std::make_shared<SharedTargetList>();
     std::shared_ptr<TargetListPoller> m_listPoller;
+    std::map<Endpoint, std::uint64_t> m_sentStarts; //!< The same, for each control host.
     DocumentHistory m_documents;
     TargetStateRelay m_stateRelay;
     std::uint64_t m_configurationBytes = 0; //!< Sent to entry hosts since the start.
@@ -130,6 +133,10 @@
     void sendFeed(Session &session);
     void sendDocument(Session &session, Instant now);
     void sendList(Session &session, Instant now);
+    //! @return Message with the starts of targets that changed after a revision, which becomes the
+    //! present one; std::nullopt if there are none.
+    [[nodiscard]] std::optional<TargetStateReports> takeStarts(std::uint64_t &revision) const;
+    void sendListToControlHost(const Endpoint &peer);
     void sendListToEntryHosts();
     void onStateChanged();
     void sendFeedToEntryHosts();
--- a/packages/coordination/ggv/coordination/fleet/control_host_sessions.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_sessions.cpp
@@ -1,6 +1,7 @@
 #include <ggv/coordination/fleet/control_host_implementation.hpp>
 #include <ggv/coordination/fleet/rate_limit_assignment.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
+#include <ggv/protocol/codec/target_report_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
 
 #include <algorithm>
@@ -16,8 +17,11 @@
 void ControlHost::Implementation::sendInitialReports(const Endpoint &peer)
 {
     m_sentDigests.erase(peer); // The peer may have restarted without the list.
+    m_sentStarts.erase(peer);
     m_mesh.send(peer, ownReport());
     m_mesh.send(peer, HostObservationReport { ownHostObservations(monotonicNow()) });
+    if (const auto starts = takeStarts(m_sentStarts[peer]))
+        m_mesh.send(peer, *starts);
     m_mesh.send(peer, m_list->report(0, monotonicNow()));
 }
 
@@ -138,7 +142,10 @@
 void ControlHost::Implementation::handle(Session &session, const TargetListReport &report)
 {
     const Instant now = monotonicNow();
-    if (m_list->apply(report, m_pauses.notSentBefore(now), now))
+    const bool hasNewContent = m_list->apply(report, m_pauses.notSentBefore(now), now);
+    if (m_list->hasReceived(report))
+        (void)m_list->applyStarts(std::exchange(session.receivedStarts, {}));
+    if (hasNewContent)
         sendListToEntryHosts();
     // The report contains this host's digest, so that the sender sends the complete list next.
     if (session.report && !m_list->hasReceived(report))
@@ -152,6 +159,10 @@
 void ControlHost::Implementation::handle(Session &session, const TargetStateReports &reports)
 {
     const bool isEntry = session.report && session.report->host.role == HostRole::Entry;
+    if (!isEntry) {
+        const auto starts = decodeTargetStarts(reports.targets);
+        session.receivedStarts.insert(session.receivedStarts.end(), starts.begin(), starts.end());
+    }
     // Dated by reading also after a pause: a crash, a limit or a departure that is reported
     // late still counts, and would be dropped if it seemed too old.
     const Instant now = monotonicNow();
--- a/packages/coordination/ggv/coordination/fleet/entry_link.cpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.cpp
@@ -2,9 +2,11 @@
 
 #include <ggv/coordination/fleet/fleet_mesh.hpp>
 #include <ggv/protocol/codec/fleet_codec.hpp>
+#include <ggv/protocol/codec/target_report_codec.hpp>
 #include <ggv/state/log/event_log.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace ggv {
 
@@ -158,6 +160,7 @@
     m_connection = std::move(connection);
     m_connectedAt = monotonicNow();
     m_notSentBefore = m_connectedAt;
+    m_receivedStarts.clear();
     logEvent(LogLevel::Info, "control-host-connected",
              { { "peer", m_peer.address }, { "revision", m_revision } });
     m_connection->start(
@@ -211,7 +214,7 @@
         else if (const auto *report = std::get_if<TargetListReport>(&message))
             handle(*report);
         else if (const auto *stateReports = std::get_if<TargetStateReports>(&message))
-            m_handlers.onStateReports(stateReports->targets);
+            handle(*stateReports);
         else if (const auto *update = std::get_if<DocumentUpdate>(&message))
             handle(*update);
     } catch (const std::exception &error) {
@@ -237,8 +240,11 @@
 void EntryLink::handle(const TargetListReport &report)
 {
     const Instant now = monotonicNow();
-    if (m_list.apply(report, m_notSentBefore, now))
-        m_handlers.onTargets(m_list.list(), m_list.age(now));
+    const bool hasNewContent = m_list.apply(report, m_notSentBefore, now);
+    const bool hasNewStarts
+        = m_list.hasReceived(report) && m_list.applyStarts(std::exchange(m_receivedStarts, {}));
+    if (hasNewContent || hasNewStarts)
+        m_handlers.onTargets(m_list.listWithStarts(), m_list.age(now));
     recordIgnoredList(report, report.digest != 0 && report.digest != m_list.digest());
     // The next connection begins with the digest of a list that this host does hold.
     if (!m_list.hasReceived(report))
@@ -260,6 +266,13 @@
                { "held_age_ms", heldAge.count() / 1000 } });
 }
 
+void EntryLink::handle(const TargetStateReports &reports)
+{
+    const auto starts = decodeTargetStarts(reports.targets);
+    m_receivedStarts.insert(m_receivedStarts.end(), starts.begin(), starts.end());
+    m_handlers.onStateReports(reports.targets);
+}
+
 void EntryLink::handle(const DocumentUpdate &update)
 {
     if (!m_document.apply(update))
--- a/packages/coordination/ggv/coordination/fleet/entry_link.hpp
+++ b/packages/coordination/ggv/coordination/fleet/entry_link.hpp
@@ -74,6 +74,7 @@
     void receive(ByteView bytes);
     void handle(const FleetFeed &feed);
     void handle(const TargetListReport &report);
+    void handle(const TargetStateReports &reports);
     void handle(const DocumentUpdate &update);
     void recordIgnoredList(const TargetListReport &report, bool isIgnored);
     [[nodiscard]] std::vector<Endpoint> candidateEndpoints() const;
@@ -88,6 +89,8 @@
     boost::asio::steady_timer m_timer;
     std::vector<HostAnnouncement> m_controlHosts;
     SharedTargetList m_list;
+    //! Of the list that follows on the connection: the known one may show the earlier start.
+    std::vector<TargetStart> m_receivedStarts;
     std::uint64_t m_ignoredLists = 0; //!< Since the start.
     bool m_ignoresLists = false; //!< True if the last report of a target list was not applied.
     ReceivedDocument m_document;
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
@@ -3,7 +3,6 @@
 #include <ggv/protocol/codec/fleet_codec.hpp>
 
 #include <algorithm>
-
 #include <utility>
 
 #include <xxhash.h>
@@ -70,6 +69,22 @@
         m_earlierLists.pop_front();
     m_list = std::move(list);
     m_deltas.clear();
+    m_starts.forgetMissing(m_list.targets);
+}
+
+TargetList SharedTargetList::listWithStarts() const
+{
+    TargetList list = m_list;
+    m_starts.complete(list.targets);
+    return list;
+}
+
+bool SharedTargetList::applyStarts(const std::vector<TargetStart> &starts)
+{
+    bool hasChanged = false;
+    for (const auto &it : starts)
+        hasChanged = m_starts.record(it) || hasChanged;
+    return hasChanged;
 }
 
 void SharedTargetList::retainColdTimes(std::vector<ListedTarget> &targets, Instant readAt)
@@ -94,6 +109,8 @@
 
 void SharedTargetList::replace(std::vector<ListedTarget> targets, Instant readAt, Instant now)
 {
+    for (auto &it : targets)
+        m_starts.record({ it.instance, std::exchange(it.startedAt, 0) });
     retainColdTimes(targets, readAt);
     std::sort(targets.begin(), targets.end());
     m_receivedDigest = computeDigest(targets);
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.hpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ggv/protocol/message/fleet_message.hpp>
+#include <ggv/state/routing/target_starts.hpp>
 
 #include <deque>
 #include <map>
@@ -43,7 +44,15 @@
     [[nodiscard]] std::uint64_t digest() const noexcept { return m_list.digest; }
     //! @return Digest of the last received list, which a delta for this host may be based on.
     [[nodiscard]] std::uint64_t receivedDigest() const noexcept { return m_receivedDigest; }
+    //! @return The list; the starts of the targets are not part of it.
     [[nodiscard]] const TargetList &list() const noexcept { return m_list; }
+    //! @return The list with the known starts of the targets.
+    [[nodiscard]] TargetList listWithStarts() const;
+    //! Records starts of targets that another host sent with a list, once that list was received.
+    //! @return True if a known start changed.
+    bool applyStarts(const std::vector<TargetStart> &starts);
+    //! @return Known starts of targets.
+    [[nodiscard]] const TargetStarts &starts() const noexcept { return m_starts; }
 
 private:
     //! Cold time of a target when it was first read, and the time of that reading.
@@ -68,6 +77,7 @@
     [[nodiscard]] const std::optional<TargetListDelta> &deltaFrom(std::uint64_t knownDigest);
     [[nodiscard]] std::optional<TargetListDelta> makeDelta(std::uint64_t knownDigest) const;
 
+    TargetStarts m_starts;
     TargetList m_list;
     TargetList m_olderList; //!< Last received list that was not newer than the known one.
     std::uint64_t m_receivedDigest = 0;
--- a/packages/coordination/ggv/coordination/fleet/target_state_relay.cpp
+++ b/packages/coordination/ggv/coordination/fleet/target_state_relay.cpp
@@ -8,7 +8,8 @@
 
 bool TargetStateRelay::add(const TargetStateReport &report, Instant now)
 {
-    if (report.age > MaxAge)
+    // Starts of targets travel with the list.
+    if (report.age > MaxAge || decodeTargetStart(report))
         return false;
     const Instant observedAt = now - report.age;
     const auto tracked = m_tracked.find(report.instance);
--- a/packages/coordination/ggv/coordination/gateway/forwarding_headers.hpp
+++ b/packages/coordination/ggv/coordination/gateway/forwarding_headers.hpp
@@ -17,6 +17,8 @@
     std::string targetLeaving; //!< On a response, with value "1": the target is leaving.
     //! On a response: requests per second that the target takes from all hosts together.
     std::string targetRateLimit;
+    std::string answeringInstance; //!< On a response of the health path: the target that sent it.
+    std::string coldTime; //!< The same: milliseconds for which the target remains cold.
 };
 
 } // namespace ggv
--- a/packages/coordination/ggv/coordination/gateway/gateway.cpp
+++ b/packages/coordination/ggv/coordination/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include <ggv/coordination/gateway/gateway.hpp>
 
 #include <ggv/coordination/fleet/entry_link.hpp>
+#include <ggv/coordination/gateway/departure_verifier.hpp>
 #include <ggv/coordination/gateway/gateway_request.hpp>
 #include <ggv/coordination/gateway/target_path_prober.hpp>
 #include <ggv/coordination/gateway/target_report_exchange.hpp>
@@ -69,6 +70,8 @@
     {
         if (m_prober)
             m_prober->stop();
+        if (m_departureVerifier)
+            m_departureVerifier->stop();
     }
     Implementation(const Implementation &) = delete;
     Implementation &operator=(const Implementation &) = delete;
@@ -123,6 +126,7 @@
             = TargetPathProber::start(m_pool.context(0), m_context, [this](bool reachesTargets) {
                   m_link->setReachesTargets(reachesTargets);
               });
+        m_departureVerifier = DepartureVerifier::start(m_pool.context(0), m_context);
         logEvent(LogLevel::Info, "gateway-started",
                  { { "address", m_setup.self.service.address } });
     }
@@ -276,6 +280,7 @@
     std::vector<std::unique_ptr<HttpServer>> m_servers; //!< For callers and for peers.
     std::shared_ptr<EntryLink> m_link;
     std::shared_ptr<TargetPathProber> m_prober;
+    std::shared_ptr<DepartureVerifier> m_departureVerifier;
     std::set<FailureDomainName> m_evacuated;
     std::vector<HostAnnouncement> m_peers; //!< As last named by a control host.
     std::uint32_t m_entryHosts = 1;
--- a/packages/coordination/test/fleet/configuration_distribution_test.cpp
+++ b/packages/coordination/test/fleet/configuration_distribution_test.cpp
@@ -216,8 +216,8 @@
         setup.seeds = { m_proxy->endpoint() };
         setup.topology = { ggv::FailureDomainName("a"),
                            { { ggv::FailureDomainName("a"), ggv::RegionName("north") } } };
-        setup.headers = { "Id",      "Time-Left", "Object",  "Instance", "Seal",
-                          "Not-Run", "Load",      "Leaving", "Limit" };
+        setup.headers = { "Id",   "Time-Left", "Object", "Instance",    "Seal", "Not-Run",
+                          "Load", "Leaving",   "Limit",  "Answered-By", "Cold" };
         setup.decodeConfiguration = decodeDocument;
         m_gateway = Gateway::start(*m_pool, std::move(setup)).value();
     }
--- a/packages/coordination/test/fleet/shared_target_list_test.cpp
+++ b/packages/coordination/test/fleet/shared_target_list_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 
 namespace {
@@ -47,6 +48,7 @@
     CPPUNIT_TEST(deltaFromAnEarlierListIsApplied);
     CPPUNIT_TEST(olderListIsABaseOfLaterOnes);
     CPPUNIT_TEST(delayedListDoesNotHideTheNextOne);
+    CPPUNIT_TEST(startsTravelApartFromTheList);
     CPPUNIT_TEST(receiverConvergesForAnyHistory);
     CPPUNIT_TEST(receiverFollowsAnySendersAndDelays);
     CPPUNIT_TEST_SUITE_END();
@@ -69,6 +71,29 @@
         CPPUNIT_ASSERT(receiver.list() == sender.list());
     }
 
+    // Older builds compare digests of lists without starts.
+    void startsTravelApartFromTheList()
+    {
+        SharedTargetList sender;
+        SharedTargetList receiver;
+        auto targets = manyTargets();
+        sender.replace(targets, Start, Start);
+        const auto digest = sender.digest();
+        targets[7].startedAt = 5;
+        sender.replace(targets, Start + seconds(1), Start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(digest, sender.digest());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, sender.starts().changedSince(0).size());
+        CPPUNIT_ASSERT(receiver.applyStarts(sender.starts().changedSince(0)));
+        CPPUNIT_ASSERT(!receiver.applyStarts(sender.starts().changedSince(0)));
+        CPPUNIT_ASSERT(receiver.apply(sender.report(0, Start + seconds(1)), Start + seconds(1),
+                                      Start + seconds(1)));
+        const auto received = receiver.listWithStarts().targets;
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 1 },
+                             std::count_if(received.begin(), received.end(), [](const auto &it) {
+                                 return it.startedAt == 5 && it.instance == "i-7";
+                             }));
+    }
+
     void completeListIsSentForUnknownBase()
     {
         SharedTargetList sender;
--- a/packages/coordination/test/fleet/target_list_distribution_test.cpp
+++ b/packages/coordination/test/fleet/target_list_distribution_test.cpp
@@ -6,8 +6,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <map>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -41,9 +44,19 @@
         targets.reserve(Targets);
         for (int n = 0; n < Targets; ++n)
             targets.push_back(target(n, n <= leaving));
+        for (auto &it : targets)
+            it.startedAt = m_isRestarting ? 1 : 0;
+        if (m_isRestarting) {
+            targets.front().startedAt = 1 + leaving / 2;
+            targets.front().leaving = leaving % 2 == 1;
+        }
         co_return targets;
     }
 
+    //! Gives the targets starts. The first one leaves at each second reading, and is ready with a
+    //! later start at the next.
+    void restartEachTime() { m_isRestarting = true; }
+
     //! @return When the list named the target as leaving for the first time, by position.
     const std::vector<Instant> &listedAt() const { return m_listedAt; }
 
@@ -61,6 +74,7 @@
     }
 
     std::vector<Instant> m_listedAt;
+    bool m_isRestarting = false;
 };
 
 class TargetListDistributionTest : public CppUnit::TestFixture
@@ -68,6 +82,7 @@
     CPPUNIT_TEST_SUITE(TargetListDistributionTest);
     CPPUNIT_TEST(leavingTargetIsKnownInTime);
     CPPUNIT_TEST(leavingTargetIsKnownInTimeAfterADelayedListAndAReconnect);
+    CPPUNIT_TEST(startsAreKnownWithTheList);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -77,6 +92,7 @@
         CPPUNIT_ASSERT(::mkdtemp(name.data()) != nullptr);
         m_folder = name;
         m_knownAt.clear();
+        m_firstTarget.clear();
         m_context = std::make_unique<boost::asio::io_context>();
         m_reader = std::make_unique<ReleasedTargets>();
         const Endpoint control = freeEndpoint();
@@ -118,6 +134,25 @@
         CPPUNIT_ASSERT(longestDelay() < DrainTime);
     }
 
+    // Guards against a restarted target that is taken for the one that left, as its start comes
+    // later than its entry, together with the entry of the earlier start, or not at all.
+    void startsAreKnownWithTheList()
+    {
+        m_reader->restartEachTime();
+        waitForNextReading();
+        startLink();
+        runUntil([this] { return !m_firstTarget.empty(); });
+        m_context->run_for(seconds(4));
+        m_proxy->closeConnections();
+        m_context->run_for(seconds(4));
+        CPPUNIT_ASSERT(m_firstTarget.size() > 3);
+        CPPUNIT_ASSERT(std::is_sorted(m_firstTarget.begin(), m_firstTarget.end()));
+        CPPUNIT_ASSERT(m_firstTarget.front().first > 0);
+        const auto readings = static_cast<ggv::UnixMillis>(m_reader->listedAt().size());
+        CPPUNIT_ASSERT(m_firstTarget.back().first >= (readings - 1) / 2);
+        CPPUNIT_ASSERT(m_hasAllStarts);
+    }
+
 private:
     static Endpoint freeEndpoint()
     {
@@ -170,6 +205,9 @@
 
     void recordLeaving(const ggv::TargetList &list)
     {
+        m_firstTarget.emplace_back(list.targets.front().startedAt, list.targets.front().leaving);
+        m_hasAllStarts = std::all_of(list.targets.begin(), list.targets.end(),
+                                     [](const auto &it) { return it.startedAt > 0; });
         for (const auto &it : list.targets) {
             if (it.leaving)
                 m_knownAt.emplace(it.endpoint.port - 1, ggv::monotonicNow());
@@ -209,6 +247,9 @@
     std::unique_ptr<ThrottledProxy> m_proxy;
     std::shared_ptr<EntryLink> m_link;
     std::map<int, Instant> m_knownAt; //!< When the host learnt that a target is leaving.
+    //! Start of the first target and whether it was leaving, in each list.
+    std::vector<std::pair<ggv::UnixMillis, bool>> m_firstTarget;
+    bool m_hasAllStarts = false; //!< All targets of the last list had a start.
     Instant m_connectedAgainAt {};
 };
 
--- a/packages/coordination/test/gateway/gateway_fixture.hpp
+++ b/packages/coordination/test/gateway/gateway_fixture.hpp
@@ -24,9 +24,8 @@
 
 inline ForwardingHeaders sampleHeaders()
 {
-    return {
-        "Id", "Time-Left", "Object", "Instance", "Seal", "Not-Run", "Load", "Leaving", "Limit"
-    };
+    return { "Id",   "Time-Left", "Object", "Instance",    "Seal", "Not-Run",
+             "Load", "Leaving",   "Limit",  "Answered-By", "Cold" };
 }
 
 inline std::string answer(const std::string &status, const std::string &headers,
--- a/packages/coordination/test/gateway/target_report_exchange_test.cpp
+++ b/packages/coordination/test/gateway/target_report_exchange_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace {
 
 using ggv::Duration;
@@ -30,6 +32,13 @@
         targets.update(sampleList(), Duration(0), Instant(seconds(100)));
     }
 
+    void setStart(ggv::UnixMillis startedAt)
+    {
+        auto list = sampleList();
+        list.targets.front().startedAt = startedAt;
+        targets.update(list, Duration(0), Instant(seconds(100)));
+    }
+
     TargetPool targets { {} };
     RequestQuarantine quarantine;
 };
@@ -39,6 +48,8 @@
     CPPUNIT_TEST_SUITE(TargetReportExchangeTest);
     CPPUNIT_TEST(eachKindReachesOtherHosts);
     CPPUNIT_TEST(recordsOfUnknownKindsHaveNoEffect);
+    CPPUNIT_TEST(departureOfAnEarlierStartHasNoEffect);
+    CPPUNIT_TEST(departureIsReadByOlderBuilds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +79,38 @@
         CPPUNIT_ASSERT(host.targets.mayReceive(*host.targets.targets().front(), m_now));
     }
 
+    // Guards against a restarted target that gets no request, as another host's report of the
+    // earlier start came late.
+    void departureOfAnEarlierStartHasNoEffect()
+    {
+        EntryHost one(1);
+        EntryHost other(2);
+        one.setStart(5);
+        other.setStart(6);
+        one.targets.observeLeaving(*one.targets.targets().front(), m_now);
+        const auto records = ggv::takeTargetReports(one.targets, one.quarantine, m_now);
+        ggv::applyTargetReports(other.targets, other.quarantine, records, m_now);
+        CPPUNIT_ASSERT(other.targets.mayReceive(*other.targets.targets().front(), m_now));
+        other.targets.observeLeaving(*other.targets.targets().front(), m_now);
+        one.setStart(6);
+        CPPUNIT_ASSERT(one.targets.mayReceive(*one.targets.targets().front(), m_now));
+        ggv::applyTargetReports(one.targets, one.quarantine,
+                                ggv::takeTargetReports(other.targets, other.quarantine, m_now),
+                                m_now);
+        CPPUNIT_ASSERT(!one.targets.mayReceive(*one.targets.targets().front(), m_now));
+    }
+
+    void departureIsReadByOlderBuilds()
+    {
+        EntryHost host(1);
+        host.setStart(5);
+        host.targets.observeLeaving(*host.targets.targets().front(), m_now);
+        const auto records = ggv::takeTargetReports(host.targets, host.quarantine, m_now);
+        CPPUNIT_ASSERT(std::any_of(records.begin(), records.end(), [](const auto &it) {
+            return it.instance == "i-1" && it.departed;
+        }));
+    }
+
 private:
     Instant m_now { seconds(200) };
 };
--- a/packages/protocol/ggv/protocol/codec/target_report_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/target_report_codec.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 #include <string_view>
+#include <utility>
 
 namespace ggv {
 
@@ -16,8 +17,10 @@
 constexpr std::string_view CrashKind = "request-crash:";
 constexpr std::string_view AnswerKind = "request-answer:";
 constexpr std::string_view QuarantineKind = "request-quarantine:";
-constexpr std::array Kinds { RateLimitKind, RateLimitShareKind, CrashKind, AnswerKind,
-                             QuarantineKind };
+constexpr std::string_view StartKind = "target-start:";
+constexpr std::string_view DepartureKind = "target-departed:";
+constexpr std::array Kinds { RateLimitKind,  RateLimitShareKind, CrashKind,    AnswerKind,
+                             QuarantineKind, StartKind,          DepartureKind };
 
 //! Value of a report that the target states no limit any more.
 constexpr std::uint32_t NoLimit = std::numeric_limits<std::uint32_t>::max();
@@ -75,6 +78,33 @@
     return report;
 }
 
+//! Starts are sent as texts with this base: the numbers of a record are too short.
+constexpr int StartBase = 36;
+
+// Returns the text of a record about a start: the start, a colon and the instance.
+std::string startText(std::string_view kind, const TargetStart &start)
+{
+    constexpr std::size_t MaxDigits = 16;
+    std::array<char, MaxDigits> digits {};
+    auto *const begin = digits.data();
+    const auto [end, ec] = std::to_chars(begin, begin + MaxDigits, start.startedAt, StartBase);
+    return std::string(kind) + std::string(begin, end) + ":" + start.instance;
+}
+
+std::optional<TargetStart> parseStart(const std::string &text, std::string_view kind)
+{
+    if (!text.starts_with(kind))
+        return std::nullopt;
+    const auto *const begin = text.data() + kind.size();
+    const auto *const limit = text.data() + text.size();
+    TargetStart start;
+    const auto [end, ec] = std::from_chars(begin, limit, start.startedAt, StartBase);
+    if (ec != std::errc() || start.startedAt <= 0 || limit - end < 2 || *end != ':')
+        return std::nullopt;
+    start.instance.assign(end + 1, limit);
+    return start;
+}
+
 // Returns the instance without the kind; std::nullopt if the record is of another kind.
 std::optional<std::string> instanceOf(const TargetStateReport &record, std::string_view kind)
 {
@@ -143,6 +173,48 @@
     return std::nullopt;
 }
 
+TargetStateReport encodeTargetStart(const TargetStart &start)
+{
+    return { startText(StartKind, start), 0, false, Duration(0) };
+}
+
+std::optional<TargetStart> decodeTargetStart(const TargetStateReport &record)
+{
+    return parseStart(record.instance, StartKind);
+}
+
+std::vector<TargetStart> decodeTargetStarts(const std::vector<TargetStateReport> &records)
+{
+    std::vector<TargetStart> starts;
+    for (const auto &it : records) {
+        if (auto start = decodeTargetStart(it))
+            starts.push_back(std::move(*start));
+    }
+    return starts;
+}
+
+std::vector<TargetStateReport> encodeTargetStarts(const std::vector<TargetStart> &starts)
+{
+    std::vector<TargetStateReport> records;
+    records.reserve(starts.size());
+    for (const auto &it : starts)
+        records.push_back(encodeTargetStart(it));
+    return records;
+}
+
+TargetStateReport encodeDeparture(const TargetStateReport &report)
+{
+    return { startText(DepartureKind, { report.instance, report.startedAt }), 0, true, report.age };
+}
+
+std::optional<TargetStateReport> decodeDeparture(const TargetStateReport &record)
+{
+    auto start = parseStart(record.instance, DepartureKind);
+    if (!start)
+        return std::nullopt;
+    return TargetStateReport { std::move(start->instance), 0, true, record.age, start->startedAt };
+}
+
 bool isLoadRecord(const TargetStateReport &record) noexcept
 {
     return std::none_of(Kinds.begin(), Kinds.end(), [&record](std::string_view kind) {
--- a/packages/protocol/ggv/protocol/codec/target_report_codec.hpp
+++ b/packages/protocol/ggv/protocol/codec/target_report_codec.hpp
@@ -2,9 +2,11 @@
 
 #include <ggv/state/quarantine/request_report.hpp>
 #include <ggv/state/routing/target_rate_limit_report.hpp>
+#include <ggv/state/routing/target_starts.hpp>
 #include <ggv/state/routing/target_state_report.hpp>
 
 #include <optional>
+#include <vector>
 
 namespace ggv {
 
@@ -31,6 +33,23 @@
 //! @return The report; std::nullopt if the record is of another kind or malformed.
 [[nodiscard]] std::optional<RequestReport> decodeRequestReport(const TargetStateReport &record);
 
+//! @return The starts among the records; other records are left out.
+[[nodiscard]] std::vector<TargetStart>
+decodeTargetStarts(const std::vector<TargetStateReport> &records);
+//! @return Records for starts of targets.
+[[nodiscard]] std::vector<TargetStateReport>
+encodeTargetStarts(const std::vector<TargetStart> &starts);
+//! @return The record for the start of a target.
+[[nodiscard]] TargetStateReport encodeTargetStart(const TargetStart &start);
+//! @return The start; std::nullopt if the record is of another kind or malformed.
+[[nodiscard]] std::optional<TargetStart> decodeTargetStart(const TargetStateReport &record);
+
+//! @return The record that a certain start of a target departed; older builds read only the record
+//! without the start, which is sent beside it.
+[[nodiscard]] TargetStateReport encodeDeparture(const TargetStateReport &report);
+//! @return The report; std::nullopt if the record is of another kind or malformed.
+[[nodiscard]] std::optional<TargetStateReport> decodeDeparture(const TargetStateReport &record);
+
 //! @return True if the record tells the load of a target or that it departed.
 [[nodiscard]] bool isLoadRecord(const TargetStateReport &record) noexcept;
 
--- a/packages/protocol/test/codec/recorded_fleet_bytes_test.cpp
+++ b/packages/protocol/test/codec/recorded_fleet_bytes_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(messagesAreWrittenAsTheLandedBuildReadsThem);
     CPPUNIT_TEST(replicatedStateIsUnchanged);
     CPPUNIT_TEST(reportsOfNewKindsHaveTheFormOfTheLandedBuild);
+    CPPUNIT_TEST(startsOfTargetsHaveTheFormOfTheLandedBuild);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,27 @@
                       "94bf726571756573742d616e737765723a3030303030303030303030303030666600c207");
         CPPUNIT_ASSERT(expected == ggv::encodeFleetMessage(reports));
     }
+
+    // The start of a target is no part of its entry or of the record that it departed.
+    void startsOfTargetsHaveTheFormOfTheLandedBuild()
+    {
+        auto target = sampleTarget();
+        target.startedAt = 1'700'000'000'000;
+        const ggv::TargetListReport list { 8, Duration(9), { { target } }, {} };
+        CPPUNIT_ASSERT(fromHex(RecordedMessages[4]) == ggv::encodeFleetMessage(list));
+        const ggv::TargetStateReport report { "i-1", 20, true, Duration(300), target.startedAt };
+        const ggv::TargetStateReports departed { { report } };
+        CPPUNIT_ASSERT(fromHex(RecordedMessages[7]) == ggv::encodeFleetMessage(departed));
+        const ggv::TargetStateReports records { { ggv::encodeTargetStart({ "i-1", 71 }),
+                                                  ggv::encodeDeparture(report) } };
+        const auto expected
+            = fromHex("9205919294b37461726765742d73746172743a317a3a692d3100c200"
+                      "94bc7461726765742d64657061727465643a6c6f7977337632383a692d3100c3cd012c");
+        CPPUNIT_ASSERT(expected == ggv::encodeFleetMessage(records));
+        const auto decoded = std::get<ggv::TargetStateReports>(
+            ggv::decodeFleetMessage(ggv::encodeFleetMessage(records)));
+        CPPUNIT_ASSERT(decoded == records);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordedFleetBytesTest);
--- a/packages/protocol/test/codec/target_report_codec_test.cpp
+++ b/packages/protocol/test/codec/target_report_codec_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(sharesRoundTripAndAreBounded);
     CPPUNIT_TEST(requestReportsRoundTrip);
     CPPUNIT_TEST(malformedRequestReportsAreIgnored);
+    CPPUNIT_TEST(startsAndDeparturesRoundTrip);
+    CPPUNIT_TEST(malformedStartsAreIgnored);
     CPPUNIT_TEST(kindsAreToldApart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -74,6 +76,30 @@
             CPPUNIT_ASSERT_MESSAGE(it, !ggv::decodeRequestReport({ it, 1, false, Duration(0) }));
     }
 
+    void startsAndDeparturesRoundTrip()
+    {
+        for (const ggv::UnixMillis it :
+             { ggv::UnixMillis { 1 }, ggv::UnixMillis { 1'700'000'000'000 },
+               std::numeric_limits<ggv::UnixMillis>::max() }) {
+            const ggv::TargetStart start { "i:1", it };
+            const auto record = ggv::encodeTargetStart(start);
+            CPPUNIT_ASSERT(start == ggv::decodeTargetStart(record));
+            CPPUNIT_ASSERT(!ggv::decodeDeparture(record) && !ggv::isLoadRecord(record));
+            const TargetStateReport departure { "i:1", 0, true, milliseconds(30), it };
+            const auto departed = ggv::encodeDeparture(departure);
+            CPPUNIT_ASSERT(departure == ggv::decodeDeparture(departed));
+            CPPUNIT_ASSERT(!ggv::decodeTargetStart(departed) && !ggv::isLoadRecord(departed));
+        }
+    }
+
+    void malformedStartsAreIgnored()
+    {
+        for (const char *it : { "target-start:", "target-start:5", "target-start:5:",
+                                "target-start::i-1", "target-start:-5:i-1", "target-start:0:i-1",
+                                "target-start:5!:i-1", "target-start:zzzzzzzzzzzzzzzz:i-1", "i-1" })
+            CPPUNIT_ASSERT_MESSAGE(it, !ggv::decodeTargetStart({ it, 0, false, Duration(0) }));
+    }
+
     void kindsAreToldApart()
     {
         const TargetStateReport load { "i-1", 20, false, Duration(0) };
--- a/packages/state/ggv/state/routing/fwd.hpp
+++ b/packages/state/ggv/state/routing/fwd.hpp
@@ -14,6 +14,8 @@
 struct Placement;
 class SmoothedLoad;
 class DepartedTargets;
+struct TargetStart;
+class TargetStarts;
 class TargetBackoff;
 class TargetRateLimit;
 struct TargetRateLimitReport;
--- a/packages/state/ggv/state/routing/target_pool.cpp
+++ b/packages/state/ggv/state/routing/target_pool.cpp
@@ -32,6 +32,11 @@
     return policy;
 }
 
+bool isSameAddress(const ListedTarget &one, const ListedTarget &other)
+{
+    return one.endpoint == other.endpoint && one.service == other.service;
+}
+
 } // namespace
 
 RegionName Topology::regionOf(const FailureDomainName &domain) const
@@ -72,6 +77,8 @@
     switch (status) {
     case TargetStatus::Listed:
         return "listed";
+    case TargetStatus::Restarted:
+        return "restarted";
     case TargetStatus::Delisted:
         return "delisted";
     case TargetStatus::Leaving:
@@ -132,27 +139,7 @@
     std::map<std::string, PooledTargetRef> byInstance;
     std::map<ServiceName, Candidates> services;
     for (const auto &listing : list.targets) {
-        auto known = m_byInstance.find(listing.instance);
-        const bool isSameTarget = known != m_byInstance.end()
-            && known->second->m_listing.endpoint == listing.endpoint
-            && known->second->m_listing.service == listing.service;
-        const PooledTargetRef target = isSameTarget
-            ? known->second
-            : std::make_shared<PooledTarget>(listing, m_topology.regionOf(listing.domain));
-        const bool wasLeaving = isSameTarget && target->m_listing.leaving;
-        const bool startsColdPeriod
-            = !isSameTarget || target->m_listing.coldDuration != listing.coldDuration;
-        target->m_listing = listing;
-        target->m_departed = target->m_departed || m_departed.contains(listing);
-        target->m_listing.leaving = listing.leaving || wasLeaving;
-        if (!isSameTarget)
-            notifyObserver(*target, TargetStatus::Listed, ListEvidence, age);
-        if (target->m_listing.leaving && !wasLeaving)
-            notifyObserver(*target, TargetStatus::Leaving, ListEvidence, age);
-        // The age of the list is not subtracted: the entry may have been written late.
-        if (startsColdPeriod && listing.coldDuration > Duration(0))
-            extendColdPeriod(*target, &PooledTarget::m_coldUntil, listing.coldDuration + ColdMargin,
-                             ListEvidence, age, now);
+        const PooledTargetRef target = updatedTarget(listing, age, now);
         byInstance[listing.instance] = target;
         services[listing.service].push_back(target);
     }
@@ -164,12 +151,58 @@
     m_services = std::move(services);
 }
 
+// Returns the known target with its new entry, or a new one if there is none or it has restarted.
+PooledTargetRef TargetPool::updatedTarget(ListedTarget listing, Duration age, Instant now)
+{
+    const auto known = m_byInstance.find(listing.instance);
+    const bool isKnown
+        = known != m_byInstance.end() && isSameAddress(known->second->m_listing, listing);
+    const bool isRestarted
+        = isKnown && isLaterStart(listing.startedAt, known->second->m_listing.startedAt);
+    PooledTargetRef target;
+    if (isRestarted)
+        target = restartedTarget(*known->second, listing, now);
+    else if (isKnown)
+        target = known->second;
+    else
+        target = std::make_shared<PooledTarget>(listing, m_topology.regionOf(listing.domain));
+    if (!isKnown || isRestarted) {
+        target->m_listing.leaving = false;
+        target->m_listing.coldDuration = Duration(0);
+        notifyObserver(*target, isKnown ? TargetStatus::Restarted : TargetStatus::Listed,
+                       ListEvidence, age);
+    }
+    listing.startedAt = std::max(listing.startedAt, target->m_listing.startedAt);
+    applyListing(*target, listing, age, now);
+    return target;
+}
+
+void TargetPool::applyListing(PooledTarget &target, const ListedTarget &listing, Duration age,
+                              Instant now)
+{
+    const bool wasLeaving = target.m_listing.leaving;
+    const bool startsColdPeriod = target.m_listing.coldDuration != listing.coldDuration;
+    target.m_listing = listing;
+    target.m_departed = target.m_departed || m_departed.contains(listing);
+    target.m_listing.leaving = listing.leaving || wasLeaving;
+    // The entry before this one held until now.
+    if (listing.leaving || target.m_isListedLeaving || target.m_departureSeenAt == Instant::min())
+        target.m_departureSeenAt = now;
+    target.m_isListedLeaving = listing.leaving;
+    if (target.m_listing.leaving && !wasLeaving)
+        notifyObserver(target, TargetStatus::Leaving, ListEvidence, age);
+    // The age of the list is not subtracted: the entry may have been written late.
+    if (startsColdPeriod && listing.coldDuration > Duration(0))
+        extendColdPeriod(target, &PooledTarget::m_coldUntil, listing.coldDuration + ColdMargin,
+                         ListEvidence, age, now);
+}
+
 void TargetPool::removeMissing(const std::map<std::string, PooledTargetRef> &listed,
                                Duration age) const
 {
     for (const auto &[instance, target] : m_byInstance) {
         const auto it = listed.find(instance);
-        if (it == listed.end() || it->second != target)
+        if (it == listed.end() || !isSameAddress(it->second->m_listing, target->m_listing))
             notifyObserver(*target, TargetStatus::Delisted, ListEvidence, age);
     }
 }
@@ -271,26 +304,6 @@
     target.m_wasReportedBusy = isBusy;
 }
 
-void TargetPool::exclude(PooledTarget &target, TargetStatus status, Instant now)
-{
-    if (target.m_departed)
-        return;
-    target.m_departed = true;
-    m_departed.record(target.m_listing, now);
-    m_pendingReports.insert(target.m_listing.instance);
-    notifyObserver(target, status, AnswerEvidence);
-}
-
-void TargetPool::observeReplaced(PooledTarget &target, Instant now)
-{
-    exclude(target, TargetStatus::Replaced, now);
-}
-
-void TargetPool::observeLeaving(PooledTarget &target, Instant now)
-{
-    exclude(target, TargetStatus::Leaving, now);
-}
-
 void TargetPool::observeRetryAfter(PooledTarget &target, Duration retryAfter, Instant now)
 {
     const bool wasActive = target.m_backoff.isActive(now);
@@ -355,10 +368,15 @@
     }
 }
 
+ServicePolicy TargetPool::policyOf(const ServiceName &service) const
+{
+    const auto policy = m_policies.find(service);
+    return policy == m_policies.end() ? ServicePolicy() : policy->second;
+}
+
 Duration TargetPool::coldStartOf(const PooledTarget &target) const
 {
-    const auto policy = m_policies.find(target.m_listing.service);
-    return policy == m_policies.end() ? Duration(0) : policy->second.coldStart;
+    return policyOf(target.m_listing.service).coldStart;
 }
 
 // Returns the earliest end of the periods stated by targets that could otherwise serve the request.
--- a/packages/state/ggv/state/routing/target_pool.hpp
+++ b/packages/state/ggv/state/routing/target_pool.hpp
@@ -87,6 +87,9 @@
     bool m_isDown = false; //!< The last notification of the observer was Down, not Working.
     //! The target said that it is leaving, or another instance answered at its address.
     bool m_departed = false;
+    bool m_isListedLeaving = false; //!< According to the present list alone.
+    Instant m_departureSeenAt = Instant::min(); //!< Last evidence that the target is leaving.
+    Instant m_startSeenAt = Instant::min(); //!< Older reports are of an earlier start.
     TargetBackoff m_backoff;
     TargetRateLimit m_rateLimit;
     Instant m_coldUntil = Instant::min(); //!< According to the platform's list or an evacuation.
@@ -110,6 +113,7 @@
 //! Status of a target as determined by this host.
 enum class TargetStatus : std::uint8_t {
     Listed, //!< Appeared in the platform's list.
+    Restarted, //!< Started again under its name.
     Delisted, //!< Disappeared from the platform's list.
     Leaving,
     Cold, //!< Limited to the cold rate for a period.
@@ -166,6 +170,10 @@
 class TargetPool
 {
 public:
+    //! Time for which the list must contradict the evidence that a target is leaving: until then it
+    //! may be out of date.
+    static constexpr Duration DoubtTime = std::chrono::seconds(3);
+
     explicit TargetPool(Topology topology);
 
     /**
@@ -199,6 +207,18 @@
     void observeReplaced(PooledTarget &target, Instant now);
     //! Excludes the target because an answer of it says that it is leaving.
     void observeLeaving(PooledTarget &target, Instant now);
+    //! @return Targets that are excluded as leaving although the list has shown them as ready for
+    //! DoubtTime: they may have started again without a known start.
+    [[nodiscard]] std::vector<PooledTargetRef> doubtfulDepartures(Instant now) const;
+    /**
+     * @brief Uses a target again that was excluded as leaving, because it says that it is not.
+     * @param target The target; ignored if there is later evidence that it is leaving.
+     * @param sentAt Time at which the target was asked.
+     * @param coldDuration Time for which the target says that it is cold.
+     * @param now Current time.
+     */
+    void observeNotLeaving(const PooledTarget &target, Instant sentAt, Duration coldDuration,
+                           Instant now);
     //! Excludes the target for the Retry-After of an answer with which it rejected a request.
     void observeRetryAfter(PooledTarget &target, Duration retryAfter, Instant now);
     //! Records the rate limit that an answer of the target states. @param sentAt Time at which the
@@ -234,6 +254,8 @@
     [[nodiscard]] bool hasList() const noexcept { return m_hasList; }
     //! @return All known targets.
     [[nodiscard]] std::vector<PooledTargetRef> targets() const;
+    //! @return Configuration of a service; a default one if it has none.
+    [[nodiscard]] ServicePolicy policyOf(const ServiceName &service) const;
 
 private:
     using Candidates = std::vector<PooledTargetRef>;
@@ -258,6 +280,13 @@
     [[nodiscard]] double defaultRateLimitShare() const noexcept;
     void notifyRateLimit(const PooledTarget &target, const char *source, Duration age) const;
     void exclude(PooledTarget &target, TargetStatus status, Instant now);
+    [[nodiscard]] bool isCurrent(const PooledTarget &target) const;
+    [[nodiscard]] PooledTarget *findSameStart(PooledTarget &target) const;
+    [[nodiscard]] PooledTargetRef updatedTarget(ListedTarget listing, Duration age, Instant now);
+    [[nodiscard]] PooledTargetRef restartedTarget(const PooledTarget &earlier, ListedTarget listing,
+                                                  Instant now) const;
+    void applyListing(PooledTarget &target, const ListedTarget &listing, Duration age, Instant now);
+    void applyDeparture(PooledTarget &target, const TargetStateReport &report, Instant now);
     [[nodiscard]] bool isHealthy(const PooledTarget &target, Instant now) const;
     [[nodiscard]] double ownRegionWeight(const Candidates &candidates) const;
     [[nodiscard]] static double meanSmoothedLoad(const Candidates &candidates, Instant now);
--- a/packages/state/ggv/state/routing/target_pool_reports.cpp
+++ b/packages/state/ggv/state/routing/target_pool_reports.cpp
@@ -22,7 +22,7 @@
         const auto &target = *it->second;
         const auto load = static_cast<std::uint32_t>(target.m_othersLoad + target.m_inFlight);
         const Duration age = target.m_departed ? Duration(0) : now - target.m_reportedAt;
-        reports.push_back({ instance, load, target.m_departed, age });
+        reports.push_back({ instance, load, target.m_departed, age, target.m_listing.startedAt });
     }
     return reports;
 }
@@ -34,12 +34,11 @@
         if (known == m_byInstance.end())
             continue;
         auto &target = *known->second;
-        if (it.departed && !target.m_departed) {
-            target.m_departed = true;
-            m_departed.record(target.m_listing, now);
-            notifyObserver(target, TargetStatus::Departed, SharedEvidence, it.age);
+        if (it.departed) {
+            applyDeparture(target, it, now);
+            continue;
         }
-        if (it.departed || now - it.age <= target.m_reportedAt)
+        if (now - it.age <= std::max(target.m_reportedAt, target.m_startSeenAt))
             continue;
         target.m_othersLoad = std::max(0.0, static_cast<double>(it.load) - target.m_inFlight);
         target.m_reportedAt = now - it.age;
@@ -72,6 +71,8 @@
         if (known == m_byInstance.end())
             continue;
         auto &target = *known->second;
+        if (now - it.age < target.m_startSeenAt)
+            continue;
         if (target.m_rateLimit.apply(it.perSecond, now - it.age, now))
             notifyRateLimit(target, SharedEvidence, it.age);
     }
--- a/packages/state/ggv/state/routing/target_state_report.hpp
+++ b/packages/state/ggv/state/routing/target_state_report.hpp
@@ -16,6 +16,8 @@
     //! The target is leaving, or another instance answered at its address.
     bool departed = false;
     Duration age { 0 }; //!< Time since the observation.
+    //! Start of the target that departed; 0 if unknown, as in reports of older builds.
+    UnixMillis startedAt = 0;
 
     [[nodiscard]] auto operator<=>(const TargetStateReport &) const = default;
 };
