Use targets of the register again whose entries came back

Callers of the own interface saw: a target that said on an answer that it leaves, was removed from the register, restarted and added again under its name got no requests until each entry host restarted.

TargetTable keeps a target's own statement by its name, and only a later answer of the target could end it, which never comes as the target gets no requests.

Change: the statement ends when the register says that the name belongs to another process: its entry returns, has another endpoint, or is no longer marked as leaving. It is ended by a statement with the time of the change, so that late answers to earlier requests don't count; other changes of the register end nothing. A target that still leaves says so with its first answer. A restart without a change of the entry stays open: the own protocol has no evidence of it (docs/modules/health.md, docs/PROOFS.md).

--- a/packages/coordination/ggv/coordination/entry/target_table.cpp
+++ b/packages/coordination/ggv/coordination/entry/target_table.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 
 #include <boost/lockfree/queue.hpp>
 
@@ -88,6 +89,16 @@
     return windows;
 }
 
+// True if the register says that the name now belongs to another process: its entry was missing or
+// marked as leaving, or has another endpoint.
+bool isOtherProcess(const Register &earlier, const Target &target)
+{
+    const auto *known = earlier.target(target.name);
+    if (known == nullptr || known->endpoint != target.endpoint)
+        return true;
+    return known->leaving && !target.leaving;
+}
+
 } // namespace
 
 class TargetTable::Implementation
@@ -117,12 +128,16 @@
         return rateLimiter.state;
     }
 
-    std::shared_ptr<const EntryView> buildView(const std::shared_ptr<const Register> &content)
+    std::shared_ptr<const EntryView> buildView(const std::shared_ptr<const Register> &content,
+                                               Instant now)
     {
-        m_content = content;
+        const auto earlier = std::exchange(m_content, content);
+        const auto stamp = static_cast<std::uint64_t>(now.time_since_epoch().count());
         for (const auto &target : content->content().targets) {
             auto &record = recordOf(target);
             record.drains = drainsOf(target, *content);
+            if (isOtherProcess(*earlier, target))
+                record.health.observeLeaving(EvidenceSource::Target, stamp, false);
             record.health.observeLeaving(EvidenceSource::Register, content->version(),
                                          target.leaving);
         }
@@ -288,9 +303,9 @@
 }
 
 std::shared_ptr<const EntryView>
-TargetTable::buildView(const std::shared_ptr<const Register> &content)
+TargetTable::buildView(const std::shared_ptr<const Register> &content, Instant now)
 {
-    return m_implementation->buildView(content);
+    return m_implementation->buildView(content, now);
 }
 
 void TargetTable::refresh(Instant now, UnixMillis wallNow)
--- a/packages/coordination/ggv/coordination/entry/target_table.hpp
+++ b/packages/coordination/ggv/coordination/entry/target_table.hpp
@@ -43,9 +43,11 @@
     void observeLeaving(std::uint32_t target, EvidenceSource source, std::uint64_t stamp,
                         bool isLeaving) noexcept;
 
-    //! Builds the routing view of a register; recorded state of targets is retained.
+    //! Builds the routing view of a register; recorded state of targets is retained. A target's own
+    //! earlier statement that it is leaving ends when its entry returns, has another endpoint or is
+    //! no longer marked as leaving.
     [[nodiscard]] std::shared_ptr<const EntryView>
-    buildView(const std::shared_ptr<const Register> &content);
+    buildView(const std::shared_ptr<const Register> &content, Instant now);
     //! Processes queued observations and publishes limits, health and weights.
     void refresh(Instant now, UnixMillis wallNow);
     //! @return Slots and rates in use and requested by this host; resets the arrival counts.
--- a/packages/coordination/ggv/coordination/node/node.cpp
+++ b/packages/coordination/ggv/coordination/node/node.cpp
@@ -136,7 +136,7 @@
         ControlHandlers handlers;
         handlers.onRegister = [this](std::shared_ptr<const Register> content) {
             m_register = std::move(content);
-            auto view = m_targetTable.buildView(m_register);
+            auto view = m_targetTable.buildView(m_register, monotonicNow());
             m_metrics.attach(*view);
             m_context.view.replace(std::move(view));
             rebuildLookups();
--- a/packages/coordination/test/entry/entry_faults_test.cpp
+++ b/packages/coordination/test/entry/entry_faults_test.cpp
@@ -107,7 +107,7 @@
 public:
     void plansMatchRequestHeads()
     {
-        const auto view = m_targetTable.buildView(sampleRegister());
+        const auto view = m_targetTable.buildView(sampleRegister(), ggv::Instant());
         for (const auto &it : cases()) {
             const auto plan = ggv::planRequest(*view, headOf(it.method, it.target, it.headers));
             CPPUNIT_ASSERT(plan.refusal == it.refusal);
@@ -119,7 +119,7 @@
     // the response reported an expired deadline instead of the reason for the refusal.
     void refusedPlansHaveRemainingTime()
     {
-        const auto view = m_targetTable.buildView(sampleRegister());
+        const auto view = m_targetTable.buildView(sampleRegister(), ggv::Instant());
         for (const auto &it : cases()) {
             const auto plan = ggv::planRequest(*view, headOf(it.method, it.target, it.headers));
             CPPUNIT_ASSERT(plan.remainingTime > ggv::Duration(0));
@@ -129,7 +129,7 @@
     // Guards against a crash when demand is computed for regions without a link between them.
     void demandIsComputedWithoutLinks()
     {
-        (void)m_targetTable.buildView(sampleRegister());
+        (void)m_targetTable.buildView(sampleRegister(), ggv::Instant());
         const auto start = ggv::Instant(ggv::Duration(1));
         (void)m_targetTable.takeDemands(start);
         const auto demands = m_targetTable.takeDemands(start + std::chrono::seconds(1));
--- a/packages/coordination/test/observability/metrics_test.cpp
+++ b/packages/coordination/test/observability/metrics_test.cpp
@@ -35,7 +35,8 @@
         content.shiftCaps.push_back(
             { ServiceName("kits"), RegionName("south"), RegionName("north"), 40 });
         auto created = Register::create(1, content).value();
-        view = targetTable.buildView(std::make_shared<const Register>(std::move(created)));
+        view = targetTable.buildView(std::make_shared<const Register>(std::move(created)),
+                                     ggv::Instant());
         metrics.attach(*view);
     }
 
