--- a/packages/state/test/routing/restarted_target_test.cpp
+++ b/packages/state/test/routing/restarted_target_test.cpp
@@ -8,7 +8,6 @@
 using ggv::Instant;
 using ggv::ListedTarget;
 using ggv::PooledTargetRef;
-using ggv::TargetList;
 using ggv::TargetOutcome;
 using ggv::TargetPool;
 using ggv::TargetStateReport;
