Send the starts of targets in fewer bytes, and after the first lists

Cause: sent one record of about 60 bytes a target before each first list. 27 control hosts exchange their first lists with each other, which the starts delayed on full links; after 1.6 s without a list a control host reads the platform's list itself, in 34 calls.

Change: one record with 13 printable bytes a target, which names the target by a hash of 36 bits; control hosts get the starts from the second list on (StartsDelivery). A control host that gets new starts with an unchanged list passes them on to its entry hosts. Older builds ignore the record as before.

--- a/packages/coordination/ggv/coordination/fleet/control_host_feeds.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_feeds.cpp
@@ -54,19 +54,18 @@
 }
 
 std::optional<TargetStateReports>
-ControlHost::Implementation::takeStarts(std::uint64_t &revision) const
+ControlHost::Implementation::takeStarts(StartsDelivery &delivery) const
 {
-    const auto &starts = m_list->starts();
-    if (revision == starts.revision())
+    const auto starts = delivery.take(m_list->starts());
+    if (starts.empty())
         return std::nullopt;
-    const auto changed = starts.changedSince(std::exchange(revision, starts.revision()));
-    return TargetStateReports { encodeTargetStarts(changed) };
+    return TargetStateReports { encodeTargetStarts(starts) };
 }
 
 // The starts go first, so that a restarted target is not taken for the earlier one.
 void ControlHost::Implementation::sendList(Session &session, Instant now)
 {
-    if (const auto starts = takeStarts(session.sentStarts)) {
+    if (const auto starts = takeStarts(session.starts)) {
         Bytes bytes = encodeFleetMessage(*starts);
         m_listBytes += bytes.size();
         session.connection->send(std::move(bytes));
@@ -118,7 +117,8 @@
 
 void ControlHost::Implementation::sendListToControlHost(const Endpoint &peer)
 {
-    if (const auto starts = takeStarts(m_sentStarts[peer]))
+    auto &delivery = m_sentStarts.try_emplace(peer, StartsDelivery::fromSecondList()).first->second;
+    if (const auto starts = takeStarts(delivery))
         m_mesh.send(peer, *starts);
     m_mesh.send(
         peer, m_list->report(std::exchange(m_sentDigests[peer], m_list->digest()), monotonicNow()));
--- a/packages/coordination/ggv/coordination/fleet/control_host_implementation.hpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_implementation.hpp
@@ -10,6 +10,7 @@
 #include <ggv/coordination/fleet/membership_reconciler.hpp>
 #include <ggv/coordination/fleet/pause_detector.hpp>
 #include <ggv/coordination/fleet/shared_target_list.hpp>
+#include <ggv/coordination/fleet/starts_delivery.hpp>
 #include <ggv/coordination/fleet/target_list_poller.hpp>
 #include <ggv/coordination/fleet/target_state_relay.hpp>
 #include <ggv/coordination/quorum/quorum.hpp>
@@ -40,7 +41,7 @@
         Delivery configuration; //!< By version.
         Delivery list; //!< Target list, by digest.
         std::vector<TargetStart> receivedStarts; //!< Of the list that follows.
-        std::uint64_t sentStarts = 0; //!< Revision of the starts of targets last sent.
+        StartsDelivery starts = StartsDelivery::fromFirstList();
     };
 
     //! Number of members of the quorum.
@@ -79,7 +80,7 @@
                                                      //!< reported by each control host.
     std::shared_ptr<SharedTargetList> m_list = std::make_shared<SharedTargetList>();
     std::shared_ptr<TargetListPoller> m_listPoller;
-    std::map<Endpoint, std::uint64_t> m_sentStarts; //!< The same, for each control host.
+    std::map<Endpoint, StartsDelivery> m_sentStarts; //!< To each control host.
     DocumentHistory m_documents;
     TargetStateRelay m_stateRelay;
     std::uint64_t m_configurationBytes = 0; //!< Sent to entry hosts since the start.
@@ -133,9 +134,8 @@
     void sendFeed(Session &session);
     void sendDocument(Session &session, Instant now);
     void sendList(Session &session, Instant now);
-    //! @return Message with the starts of targets that changed after a revision, which becomes the
-    //! present one; std::nullopt if there are none.
-    [[nodiscard]] std::optional<TargetStateReports> takeStarts(std::uint64_t &revision) const;
+    //! @return Message with the starts of targets to send before the next list, if there are any.
+    [[nodiscard]] std::optional<TargetStateReports> takeStarts(StartsDelivery &delivery) const;
     void sendListToControlHost(const Endpoint &peer);
     void sendListToEntryHosts();
     void onStateChanged();
--- a/packages/coordination/ggv/coordination/fleet/control_host_sessions.cpp
+++ b/packages/coordination/ggv/coordination/fleet/control_host_sessions.cpp
@@ -20,8 +20,6 @@
     m_sentStarts.erase(peer);
     m_mesh.send(peer, ownReport());
     m_mesh.send(peer, HostObservationReport { ownHostObservations(monotonicNow()) });
-    if (const auto starts = takeStarts(m_sentStarts[peer]))
-        m_mesh.send(peer, *starts);
     m_mesh.send(peer, m_list->report(0, monotonicNow()));
 }
 
@@ -143,9 +141,9 @@
 {
     const Instant now = monotonicNow();
     const bool hasNewContent = m_list->apply(report, m_pauses.notSentBefore(now), now);
-    if (m_list->hasReceived(report))
-        (void)m_list->applyStarts(std::exchange(session.receivedStarts, {}));
-    if (hasNewContent)
+    const bool hasNewStarts = m_list->hasReceived(report)
+        && m_list->applyStarts(std::exchange(session.receivedStarts, {}));
+    if (hasNewContent || hasNewStarts)
         sendListToEntryHosts();
     // The report contains this host's digest, so that the sender sends the complete list next.
     if (session.report && !m_list->hasReceived(report))
--- a/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
+++ b/packages/coordination/ggv/coordination/fleet/shared_target_list.cpp
@@ -110,7 +110,7 @@
 void SharedTargetList::replace(std::vector<ListedTarget> targets, Instant readAt, Instant now)
 {
     for (auto &it : targets)
-        m_starts.record({ it.instance, std::exchange(it.startedAt, 0) });
+        m_starts.record({ targetKeyOf(it.instance), std::exchange(it.startedAt, 0) });
     retainColdTimes(targets, readAt);
     std::sort(targets.begin(), targets.end());
     m_receivedDigest = computeDigest(targets);
--- a/packages/coordination/ggv/coordination/fleet/target_state_relay.cpp
+++ b/packages/coordination/ggv/coordination/fleet/target_state_relay.cpp
@@ -9,7 +9,7 @@
 bool TargetStateRelay::add(const TargetStateReport &report, Instant now)
 {
     // Starts of targets travel with the list.
-    if (report.age > MaxAge || decodeTargetStart(report))
+    if (report.age > MaxAge || isTargetStarts(report))
         return false;
     const Instant observedAt = now - report.age;
     const auto tracked = m_tracked.find(report.instance);
--- a/packages/protocol/ggv/protocol/codec/target_report_codec.cpp
+++ b/packages/protocol/ggv/protocol/codec/target_report_codec.cpp
@@ -17,10 +17,10 @@
 constexpr std::string_view CrashKind = "request-crash:";
 constexpr std::string_view AnswerKind = "request-answer:";
 constexpr std::string_view QuarantineKind = "request-quarantine:";
-constexpr std::string_view StartKind = "target-start:";
+constexpr std::string_view StartsKind = "target-starts:";
 constexpr std::string_view DepartureKind = "target-departed:";
 constexpr std::array Kinds { RateLimitKind,  RateLimitShareKind, CrashKind,    AnswerKind,
-                             QuarantineKind, StartKind,          DepartureKind };
+                             QuarantineKind, StartsKind,         DepartureKind };
 
 //! Value of a report that the target states no limit any more.
 constexpr std::uint32_t NoLimit = std::numeric_limits<std::uint32_t>::max();
@@ -78,26 +78,33 @@
     return report;
 }
 
-//! Starts are sent as texts with this base: the numbers of a record are too short.
+//! Start of a target that departed.
+struct DepartedStart
+{
+    std::string instance;
+    UnixMillis startedAt = 0;
+};
+
+//! The start of a departed target is sent as text with this base: a record's numbers are too short.
 constexpr int StartBase = 36;
 
-// Returns the text of a record about a start: the start, a colon and the instance.
-std::string startText(std::string_view kind, const TargetStart &start)
+// Returns the text of a departure: the start, a colon and the instance.
+std::string departureText(const DepartedStart &start)
 {
     constexpr std::size_t MaxDigits = 16;
     std::array<char, MaxDigits> digits {};
     auto *const begin = digits.data();
     const auto [end, ec] = std::to_chars(begin, begin + MaxDigits, start.startedAt, StartBase);
-    return std::string(kind) + std::string(begin, end) + ":" + start.instance;
+    return std::string(DepartureKind) + std::string(begin, end) + ":" + start.instance;
 }
 
-std::optional<TargetStart> parseStart(const std::string &text, std::string_view kind)
+std::optional<DepartedStart> parseDeparture(const std::string &text)
 {
-    if (!text.starts_with(kind))
+    if (!text.starts_with(DepartureKind))
         return std::nullopt;
-    const auto *const begin = text.data() + kind.size();
+    const auto *const begin = text.data() + DepartureKind.size();
     const auto *const limit = text.data() + text.size();
-    TargetStart start;
+    DepartedStart start;
     const auto [end, ec] = std::from_chars(begin, limit, start.startedAt, StartBase);
     if (ec != std::errc() || start.startedAt <= 0 || limit - end < 2 || *end != ':')
         return std::nullopt;
@@ -105,6 +112,51 @@
     return start;
 }
 
+//! Digits of the numbers in a record of starts, 6 bits each; printable, as older builds may log it.
+constexpr std::string_view StartDigits
+    = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+constexpr unsigned BitsPerDigit = 6;
+constexpr std::size_t KeyLength = TargetKeyBits / BitsPerDigit;
+constexpr std::size_t TimeLength = 7;
+//! Latest start that can be sent, in the year 2109.
+constexpr UnixMillis MaxStart = (UnixMillis { 1 } << (BitsPerDigit * TimeLength)) - 1;
+constexpr std::size_t StartLength = KeyLength + TimeLength;
+
+void appendDigits(std::string &text, std::uint64_t value, std::size_t length)
+{
+    for (std::size_t n = length; n > 0; --n)
+        text += StartDigits[(value >> (BitsPerDigit * (n - 1))) % StartDigits.size()];
+}
+
+std::optional<std::uint64_t> parseDigits(std::string_view text)
+{
+    std::uint64_t value = 0;
+    for (const char it : text) {
+        const auto digit = StartDigits.find(it);
+        if (digit == std::string_view::npos)
+            return std::nullopt;
+        value = (value << BitsPerDigit) | digit;
+    }
+    return value;
+}
+
+std::optional<TargetStart> parseStart(std::string_view text)
+{
+    const auto target = parseDigits(text.substr(0, KeyLength));
+    const auto startedAt = parseDigits(text.substr(KeyLength));
+    if (!target || !startedAt || *startedAt == 0)
+        return std::nullopt;
+    return TargetStart { *target, static_cast<UnixMillis>(*startedAt) };
+}
+
+void appendStarts(std::string_view text, std::vector<TargetStart> &starts)
+{
+    for (; text.size() >= StartLength; text.remove_prefix(StartLength)) {
+        if (const auto start = parseStart(text.substr(0, StartLength)))
+            starts.push_back(*start);
+    }
+}
+
 // Returns the instance without the kind; std::nullopt if the record is of another kind.
 std::optional<std::string> instanceOf(const TargetStateReport &record, std::string_view kind)
 {
@@ -173,43 +225,43 @@
     return std::nullopt;
 }
 
-TargetStateReport encodeTargetStart(const TargetStart &start)
-{
-    return { startText(StartKind, start), 0, false, Duration(0) };
-}
-
-std::optional<TargetStart> decodeTargetStart(const TargetStateReport &record)
+std::vector<TargetStateReport> encodeTargetStarts(const std::vector<TargetStart> &starts)
 {
-    return parseStart(record.instance, StartKind);
+    if (starts.empty())
+        return {};
+    std::string text(StartsKind);
+    text.reserve(text.size() + starts.size() * StartLength);
+    for (const auto &it : starts) {
+        appendDigits(text, it.target, KeyLength);
+        appendDigits(text, static_cast<std::uint64_t>(std::min(it.startedAt, MaxStart)),
+                     TimeLength);
+    }
+    return { { std::move(text), 0, false, Duration(0) } };
 }
 
 std::vector<TargetStart> decodeTargetStarts(const std::vector<TargetStateReport> &records)
 {
     std::vector<TargetStart> starts;
     for (const auto &it : records) {
-        if (auto start = decodeTargetStart(it))
-            starts.push_back(std::move(*start));
+        if (isTargetStarts(it))
+            appendStarts(std::string_view(it.instance).substr(StartsKind.size()), starts);
     }
     return starts;
 }
 
-std::vector<TargetStateReport> encodeTargetStarts(const std::vector<TargetStart> &starts)
+bool isTargetStarts(const TargetStateReport &record) noexcept
 {
-    std::vector<TargetStateReport> records;
-    records.reserve(starts.size());
-    for (const auto &it : starts)
-        records.push_back(encodeTargetStart(it));
-    return records;
+    return record.instance.starts_with(StartsKind);
 }
 
 TargetStateReport encodeDeparture(const TargetStateReport &report)
 {
-    return { startText(DepartureKind, { report.instance, report.startedAt }), 0, true, report.age };
+    return { departureText({ report.instance, report.startedAt }), 0, true, report.age };
 }
 
 std::optional<TargetStateReport> decodeDeparture(const TargetStateReport &record)
 {
-    auto start = parseStart(record.instance, DepartureKind);
+    auto start = parseDeparture(record.instance);
     if (!start)
         return std::nullopt;
     return TargetStateReport { std::move(start->instance), 0, true, record.age, start->startedAt };
--- a/packages/protocol/ggv/protocol/codec/target_report_codec.hpp
+++ b/packages/protocol/ggv/protocol/codec/target_report_codec.hpp
@@ -33,16 +33,15 @@
 //! @return The report; std::nullopt if the record is of another kind or malformed.
 [[nodiscard]] std::optional<RequestReport> decodeRequestReport(const TargetStateReport &record);
 
-//! @return The starts among the records; other records are left out.
-[[nodiscard]] std::vector<TargetStart>
-decodeTargetStarts(const std::vector<TargetStateReport> &records);
-//! @return Records for starts of targets.
+//! @return The record with starts of targets, which older builds ignore; none if there are no
+//! starts.
 [[nodiscard]] std::vector<TargetStateReport>
 encodeTargetStarts(const std::vector<TargetStart> &starts);
-//! @return The record for the start of a target.
-[[nodiscard]] TargetStateReport encodeTargetStart(const TargetStart &start);
-//! @return The start; std::nullopt if the record is of another kind or malformed.
-[[nodiscard]] std::optional<TargetStart> decodeTargetStart(const TargetStateReport &record);
+//! @return The starts in the records; other and malformed records are left out.
+[[nodiscard]] std::vector<TargetStart>
+decodeTargetStarts(const std::vector<TargetStateReport> &records);
+//! @return True if the record contains starts of targets.
+[[nodiscard]] bool isTargetStarts(const TargetStateReport &record) noexcept;
 
 //! @return The record that a certain start of a target departed; older builds read only the record
 //! without the start, which is sent beside it.
--- a/packages/protocol/test/codec/recorded_fleet_bytes_test.cpp
+++ b/packages/protocol/test/codec/recorded_fleet_bytes_test.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <string_view>
+#include <utility>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -119,10 +120,12 @@
         const ggv::TargetStateReport report { "i-1", 20, true, Duration(300), target.startedAt };
         const ggv::TargetStateReports departed { { report } };
         CPPUNIT_ASSERT(fromHex(RecordedMessages[7]) == ggv::encodeFleetMessage(departed));
-        const ggv::TargetStateReports records { { ggv::encodeTargetStart({ "i-1", 71 }),
-                                                  ggv::encodeDeparture(report) } };
+        auto starts = ggv::encodeTargetStarts({ { 65, 71 } });
+        starts.push_back(ggv::encodeDeparture(report));
+        const ggv::TargetStateReports records { std::move(starts) };
         const auto expected
-            = fromHex("9205919294b37461726765742d73746172743a317a3a692d3100c200"
+            = fromHex("9205919294bb7461726765742d7374617274733a41414141424241414141414248"
+                      "00c200"
                       "94bc7461726765742d64657061727465643a6c6f7977337632383a692d3100c3cd012c");
         CPPUNIT_ASSERT(expected == ggv::encodeFleetMessage(records));
         const auto decoded = std::get<ggv::TargetStateReports>(
--- a/packages/protocol/test/codec/target_report_codec_test.cpp
+++ b/packages/protocol/test/codec/target_report_codec_test.cpp
@@ -2,7 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cctype>
 #include <limits>
+#include <string>
 #include <vector>
 
 namespace {
@@ -17,6 +19,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+//! Latest start that can be sent.
+constexpr ggv::UnixMillis LatestStart = (ggv::UnixMillis { 1 } << 42U) - 1;
+
 class TargetReportCodecTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TargetReportCodecTest);
@@ -24,7 +29,10 @@
     CPPUNIT_TEST(sharesRoundTripAndAreBounded);
     CPPUNIT_TEST(requestReportsRoundTrip);
     CPPUNIT_TEST(malformedRequestReportsAreIgnored);
-    CPPUNIT_TEST(startsAndDeparturesRoundTrip);
+    CPPUNIT_TEST(startsRoundTrip);
+    CPPUNIT_TEST(startsOfAnyTimeStayInOrder);
+    CPPUNIT_TEST(startsOfManyTargetsAreShort);
+    CPPUNIT_TEST(departuresRoundTrip);
     CPPUNIT_TEST(malformedStartsAreIgnored);
     CPPUNIT_TEST(kindsAreToldApart);
     CPPUNIT_TEST_SUITE_END();
@@ -76,28 +84,69 @@
             CPPUNIT_ASSERT_MESSAGE(it, !ggv::decodeRequestReport({ it, 1, false, Duration(0) }));
     }
 
-    void startsAndDeparturesRoundTrip()
+    void startsRoundTrip()
+    {
+        const std::vector<ggv::TargetStart> starts {
+            { ggv::targetKeyOf("i-1"), 1 },
+            { ggv::targetKeyOf("i-2"), 1'700'000'000'000 },
+            { 0, 5 },
+            { (ggv::TargetKey { 1 } << ggv::TargetKeyBits) - 1, LatestStart },
+        };
+        const auto records = ggv::encodeTargetStarts(starts);
+        CPPUNIT_ASSERT(starts == ggv::decodeTargetStarts(records));
+        for (const auto &it : records) {
+            CPPUNIT_ASSERT(ggv::isTargetStarts(it) && !ggv::isLoadRecord(it));
+            CPPUNIT_ASSERT(!ggv::decodeDeparture(it));
+        }
+        CPPUNIT_ASSERT(ggv::encodeTargetStarts({}).empty());
+    }
+
+    // Guards against a time that is cut off and looks like an earlier start.
+    void startsOfAnyTimeStayInOrder()
+    {
+        const auto records
+            = ggv::encodeTargetStarts({ { 7, std::numeric_limits<ggv::UnixMillis>::max() } });
+        const std::vector latest { ggv::TargetStart { 7, LatestStart } };
+        CPPUNIT_ASSERT(latest == ggv::decodeTargetStarts(records));
+    }
+
+    // Guards against lists of starts that take more on each host's link than the target list.
+    void startsOfManyTargetsAreShort()
+    {
+        std::vector<ggv::TargetStart> starts;
+        for (int n = 0; n < 1'000; ++n)
+            starts.push_back({ ggv::targetKeyOf("i-" + std::to_string(n)), 1'700'000'000'000 + n });
+        const auto records = ggv::encodeTargetStarts(starts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, records.size());
+        CPPUNIT_ASSERT(records.front().instance.size() < 16 * starts.size());
+        for (const unsigned char it : records.front().instance)
+            CPPUNIT_ASSERT(std::isprint(it) != 0);
+    }
+
+    void departuresRoundTrip()
     {
         for (const ggv::UnixMillis it :
              { ggv::UnixMillis { 1 }, ggv::UnixMillis { 1'700'000'000'000 },
                std::numeric_limits<ggv::UnixMillis>::max() }) {
-            const ggv::TargetStart start { "i:1", it };
-            const auto record = ggv::encodeTargetStart(start);
-            CPPUNIT_ASSERT(start == ggv::decodeTargetStart(record));
-            CPPUNIT_ASSERT(!ggv::decodeDeparture(record) && !ggv::isLoadRecord(record));
             const TargetStateReport departure { "i:1", 0, true, milliseconds(30), it };
             const auto departed = ggv::encodeDeparture(departure);
             CPPUNIT_ASSERT(departure == ggv::decodeDeparture(departed));
-            CPPUNIT_ASSERT(!ggv::decodeTargetStart(departed) && !ggv::isLoadRecord(departed));
+            CPPUNIT_ASSERT(!ggv::isTargetStarts(departed) && !ggv::isLoadRecord(departed));
         }
     }
 
     void malformedStartsAreIgnored()
     {
-        for (const char *it : { "target-start:", "target-start:5", "target-start:5:",
-                                "target-start::i-1", "target-start:-5:i-1", "target-start:0:i-1",
-                                "target-start:5!:i-1", "target-start:zzzzzzzzzzzzzzzz:i-1", "i-1" })
-            CPPUNIT_ASSERT_MESSAGE(it, !ggv::decodeTargetStart({ it, 0, false, Duration(0) }));
+        for (const char *it :
+             { "target-starts:", "target-starts:AAAAAAAAAAAA", "target-starts:AAAAAAAAAAAA!",
+               "target-starts:AAAAAAAAAAAAA", "target-start:AAAAAAAAAAAAB", "i-1" })
+            CPPUNIT_ASSERT_MESSAGE(
+                it, ggv::decodeTargetStarts({ { it, 0, false, Duration(0) } }).empty());
+        for (const char *it :
+             { "target-departed:", "target-departed:5", "target-departed:5:",
+               "target-departed::i-1", "target-departed:-5:i-1", "target-departed:0:i-1",
+               "target-departed:5!:i-1", "target-departed:zzzzzzzzzzzzzzzz:i-1", "i-1" })
+            CPPUNIT_ASSERT_MESSAGE(it, !ggv::decodeDeparture({ it, 0, true, Duration(0) }));
     }
 
     void kindsAreToldApart()
--- a/packages/state/ggv/state/routing/target_starts.hpp
+++ b/packages/state/ggv/state/routing/target_starts.hpp
@@ -6,15 +6,22 @@
 #include <compare>
 #include <cstdint>
 #include <map>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace ggv {
 
+//! Identifies an instance name; shorter, as the starts of all targets are sent to all hosts.
+using TargetKey = std::uint64_t;
+//! Number of bits of a key that are used.
+inline constexpr unsigned TargetKeyBits = 36;
+//! @return Key of an instance name.
+[[nodiscard]] TargetKey targetKeyOf(std::string_view instance) noexcept;
+
 //! Start of a target's process, according to the target.
 struct TargetStart
 {
-    std::string instance;
+    TargetKey target = 0;
     UnixMillis startedAt = 0; //!< Time of the start; 0 if unknown.
 
     [[nodiscard]] auto operator<=>(const TargetStart &) const = default;
@@ -32,7 +39,7 @@
     //! @return True if the known start has changed.
     bool record(const TargetStart &start);
     //! @return The latest known start; 0 if there is none.
-    [[nodiscard]] UnixMillis find(const std::string &instance) const;
+    [[nodiscard]] UnixMillis find(TargetKey target) const;
     //! Sets the start of each target that has a known one.
     void complete(std::vector<ListedTarget> &targets) const;
     //! Forgets targets that are not listed, once they outnumber the others.
@@ -49,7 +56,7 @@
         std::uint64_t revision = 0; //!< Number of the change that set it.
     };
 
-    std::map<std::string, Record> m_starts; //!< By instance.
+    std::map<TargetKey, Record> m_starts;
     std::uint64_t m_revision = 0;
 };
 
--- a/packages/state/test/routing/target_starts_test.cpp
+++ b/packages/state/test/routing/target_starts_test.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 using ggv::ListedTarget;
+using ggv::targetKeyOf;
 using ggv::TargetStart;
 using ggv::TargetStarts;
 
@@ -27,11 +28,11 @@
     void latestStartIsKnown()
     {
         TargetStarts starts;
-        CPPUNIT_ASSERT(!starts.record({ "i-1", 0 })); // Unknown.
-        CPPUNIT_ASSERT_EQUAL(ggv::UnixMillis { 0 }, starts.find("i-1"));
-        CPPUNIT_ASSERT(starts.record({ "i-1", 1'700'000'000'000 }));
-        CPPUNIT_ASSERT(!starts.record({ "i-1", 1'699'999'999'999 }));
-        CPPUNIT_ASSERT(!starts.record({ "i-1", 0 }));
+        CPPUNIT_ASSERT(!starts.record({ targetKeyOf("i-1"), 0 })); // Unknown.
+        CPPUNIT_ASSERT_EQUAL(ggv::UnixMillis { 0 }, starts.find(targetKeyOf("i-1")));
+        CPPUNIT_ASSERT(starts.record({ targetKeyOf("i-1"), 1'700'000'000'000 }));
+        CPPUNIT_ASSERT(!starts.record({ targetKeyOf("i-1"), 1'699'999'999'999 }));
+        CPPUNIT_ASSERT(!starts.record({ targetKeyOf("i-1"), 0 }));
         auto targets = listOf("i-1");
         starts.complete(targets);
         CPPUNIT_ASSERT_EQUAL(ggv::UnixMillis { 1'700'000'000'000 }, targets.front().startedAt);
@@ -40,15 +41,15 @@
     void onlyChangesAreTold()
     {
         TargetStarts starts;
-        starts.record({ "i-1", 5 });
-        starts.record({ "i-2", 6 });
+        starts.record({ targetKeyOf("i-1"), 5 });
+        starts.record({ targetKeyOf("i-2"), 6 });
         const auto revision = starts.revision();
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, starts.changedSince(0).size());
         CPPUNIT_ASSERT(starts.changedSince(revision).empty());
-        starts.record({ "i-1", 5 });
+        starts.record({ targetKeyOf("i-1"), 5 });
         CPPUNIT_ASSERT_EQUAL(revision, starts.revision());
-        starts.record({ "i-1", 7 });
-        const std::vector changed { TargetStart { "i-1", 7 } };
+        starts.record({ targetKeyOf("i-1"), 7 });
+        const std::vector changed { TargetStart { targetKeyOf("i-1"), 7 } };
         CPPUNIT_ASSERT(changed == starts.changedSince(revision));
     }
 
@@ -58,9 +59,9 @@
         TargetStarts starts;
         for (int n = 0; n < 10'000; ++n) {
             const std::string instance = "i-" + std::to_string(n);
-            starts.record({ instance, 5 });
+            starts.record({ targetKeyOf(instance), 5 });
             starts.forgetMissing(listOf(instance));
-            CPPUNIT_ASSERT_EQUAL(ggv::UnixMillis { 5 }, starts.find(instance));
+            CPPUNIT_ASSERT_EQUAL(ggv::UnixMillis { 5 }, starts.find(targetKeyOf(instance)));
         }
         CPPUNIT_ASSERT(starts.changedSince(0).size() < 100);
     }
