--- a/packages/protocol/test/codec/target_report_codec_test.cpp
+++ b/packages/protocol/test/codec/target_report_codec_test.cpp
@@ -114,6 +114,7 @@
     void startsOfManyTargetsAreShort()
     {
         std::vector<ggv::TargetStart> starts;
+        starts.reserve(1'000);
         for (int n = 0; n < 1'000; ++n)
             starts.push_back({ ggv::targetKeyOf("i-" + std::to_string(n)), 1'700'000'000'000 + n });
         const auto records = ggv::encodeTargetStarts(starts);
